--- /dev/null
+++ b/pkg/leaser/leaser.go
@@ -0,0 +1,145 @@
+// Package leaser keeps the leases of backend servers.
+//
+// A backend server announces itself every second or more often. Each
+// announcement renews its lease; a server whose lease has lapsed, or that
+// announced that it drains, receives no new work. Announcements are ordered by
+// incarnation, then by sequence, so a late one never undoes a newer one.
+//
+// # Usage
+//
+//	l := leaser.New(2 * identifier.Second)
+//	changed := l.Hear(now, leaser.Announcement{Server: "s-1", Service: "desk-1"})
+//	lapsed := l.Expire(now.Add(3 * identifier.Second))
+package leaser
+
+import (
+	"reflect"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// ServerState is what a backend server says about its readiness for work.
+type ServerState uint8
+
+// The states of a backend server.
+const (
+	// Serving takes new work.
+	Serving ServerState = iota
+	// Starting takes new work with cold caches.
+	Starting
+	// Draining finishes its work and takes no new work.
+	Draining
+)
+
+// Holding is a hash range that a server holds, in one partitioning, at the listed index versions.
+type Holding struct {
+	Epoch    identifier.Epoch          `msgpack:"e" json:"epoch"`
+	Range    identifier.HashRange      `msgpack:"r" json:"range"`
+	Versions []identifier.IndexVersion `msgpack:"v" json:"versions"`
+}
+
+// Announcement is what a backend server says about itself.
+type Announcement struct {
+	Server      identifier.ServerID    `msgpack:"i"`
+	Incarnation identifier.Incarnation `msgpack:"n"`
+	Sequence    identifier.Sequence    `msgpack:"q"`
+	Service     identifier.ServiceID   `msgpack:"s"`
+	Domain      identifier.DomainID    `msgpack:"d"`
+	Address     identifier.Address     `msgpack:"a"`
+	Slots       identifier.Slots       `msgpack:"l"`
+	Connections identifier.Connections `msgpack:"c"`
+	State       ServerState            `msgpack:"t"`
+	Holdings    []Holding              `msgpack:"h"`
+	// Load is the reported count of requests running and queued; it can lag or mislead.
+	Load int `msgpack:"o"`
+}
+
+// newerThan reports whether the announcement replaces the other one.
+func (a Announcement) newerThan(other Announcement) bool {
+	if a.Incarnation != other.Incarnation {
+		return a.Incarnation > other.Incarnation
+	}
+	return a.Sequence > other.Sequence
+}
+
+// sameForRouting reports whether the two differ in nothing that routing depends on.
+func (a Announcement) sameForRouting(other Announcement) bool {
+	a.Sequence = other.Sequence
+	a.Load = other.Load
+	return reflect.DeepEqual(a, other)
+}
+
+// Lease is an announcement and the instant at which it lapses.
+type Lease struct {
+	Announcement Announcement
+	Expires      identifier.Instant
+}
+
+// Leaser holds the leases of all known servers.
+type Leaser struct {
+	term   identifier.Micros
+	leases map[identifier.ServerID]*Lease
+}
+
+// New returns a Leaser whose leases last for the term after an announcement.
+func New(term identifier.Micros) *Leaser {
+	return &Leaser{term: term, leases: map[identifier.ServerID]*Lease{}}
+}
+
+// Hear renews a lease from an announcement made at the given instant. An
+// announcement that is not newer than the known one is ignored. It reports
+// whether anything that routing depends on has changed.
+func (l *Leaser) Hear(at identifier.Instant, a Announcement) bool {
+	known, ok := l.leases[a.Server]
+	if !ok {
+		l.leases[a.Server] = &Lease{Announcement: a, Expires: at.Add(l.term)}
+		return true
+	}
+	if !a.newerThan(known.Announcement) {
+		return false
+	}
+	changed := !a.sameForRouting(known.Announcement)
+	known.Announcement = a
+	known.Expires = max(known.Expires, at.Add(l.term))
+	return changed
+}
+
+// Expire removes the leases that have lapsed and returns their servers in order of id.
+func (l *Leaser) Expire(at identifier.Instant) []identifier.ServerID {
+	var lapsed []identifier.ServerID
+	for id, lease := range l.leases {
+		if lease.Expires <= at {
+			lapsed = append(lapsed, id)
+		}
+	}
+	for _, id := range lapsed {
+		delete(l.leases, id)
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
+// NextExpiry returns the earliest instant at which a lease lapses, or identifier.Never.
+func (l *Leaser) NextExpiry() identifier.Instant {
+	next := identifier.Never
+	for _, lease := range l.leases {
+		next = min(next, lease.Expires)
+	}
+	return next
+}
+
+// Announcements returns the latest announcement of every server with a lease, in order of id.
+func (l *Leaser) Announcements() []Announcement {
+	list := make([]Announcement, 0, len(l.leases))
+	for _, lease := range l.leases {
+		list = append(list, lease.Announcement)
+	}
+	slices.SortFunc(list, func(a, b Announcement) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
