--- /dev/null
+++ b/cmd/lagooncleat/main.go
@@ -0,0 +1,26 @@
+// Command lagooncleat is the query tier: its daemon and its operators' tools.
+//
+// # Usage
+//
+//	lagooncleat demo --once
+//	lagooncleat serve --settings FILE
+//	lagooncleat help
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/internal/commander"
+)
+
+func main() {
+	c := subcommands.NewCommander(flag.CommandLine, filepath.Base(os.Args[0]))
+	commander.Register(c, commander.Streams{Output: os.Stdout, Errors: os.Stderr})
+	flag.Parse()
+	os.Exit(int(c.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/lagooncleat/serve_test.go
@@ -0,0 +1,118 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// balancer sends callers to the hosts whose probe says that they are ready.
+type balancer struct {
+	ready []atomic.Bool
+	next  atomic.Uint64
+	stop  chan struct{}
+}
+
+const probeInterval = 50 * time.Millisecond
+
+func newBalancer(d *deployment) *balancer {
+	b := &balancer{ready: make([]atomic.Bool, len(d.hosts)), stop: make(chan struct{})}
+	go func() {
+		for {
+			for i, h := range d.hosts {
+				b.ready[i].Store(statusOf(fmt.Sprintf("http://%s/ready", h.Listen.Operators)) == http.StatusOK)
+			}
+			select {
+			case <-b.stop:
+				return
+			case <-time.After(probeInterval):
+			}
+		}
+	}()
+	return b
+}
+
+// pick returns the next ready host.
+func (b *balancer) pick() int {
+	for {
+		i := int(b.next.Add(1) % uint64(len(b.ready)))
+		if b.ready[i].Load() {
+			return i
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+var _ = ginkgo.Describe("serve", func() {
+	ginkgo.It("answers every request whole while one host shuts down under load", func() {
+		d := newDeployment(1)
+		sessions := d.startDesk()
+		for _, h := range d.hosts {
+			awaitFull(h.Listen.Callers)
+		}
+		b := newBalancer(d)
+		defer close(b.stop)
+		const clients, requests = 8, 60
+		var group sync.WaitGroup
+		var answered atomic.Int64
+		for c := range clients {
+			group.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				for i := range requests {
+					token := fmt.Sprintf(`"caller %d request %d"`, c, i)
+					body := strings.Replace(lookup, "}", `,"body":`+token+"}", 1)
+					r, err := ask(d.hosts[b.pick()].Listen.Callers, "desk", body)
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
+					whole(gomega.Default, r, token)
+					if answered.Add(1) == clients*requests/4 {
+						sessions[0].Terminate()
+					}
+				}
+			})
+		}
+		group.Wait()
+		gomega.Expect(answered.Load()).To(gomega.Equal(int64(clients * requests)))
+		gomega.Eventually(sessions[0], patience).Should(gexec.Exit(0))
+	})
+
+	ginkgo.It("rejects malformed requests and stays up", func() {
+		d := newDeployment(2)
+		d.startDesk()
+		address := d.hosts[0].Listen.Callers
+		awaitFull(address)
+		cases := []struct {
+			name, customer, body string
+			status               int
+			kind                 string
+		}{
+			{"unknown customer", "nobody", lookup, http.StatusNotFound, "unknown-customer"},
+			{"unknown work", "desk", `{"work":"x","timeout-ms":9}`, http.StatusUnprocessableEntity, "unknown-work"},
+			{"unknown field", "desk", `{"work":"lookup","timeout-ms":9,"rank":"urgent"}`, http.StatusBadRequest, "malformed-request"},
+			{"malformed JSON", "desk", `{"work":`, http.StatusBadRequest, "malformed-request"},
+			{"data after the value", "desk", lookup + "{}", http.StatusBadRequest, "malformed-request"},
+			{"negative timeout", "desk", `{"work":"lookup","timeout-ms":-1}`, http.StatusBadRequest, "malformed-request"},
+			{"missing timeout", "desk", `{"work":"lookup"}`, http.StatusBadRequest, "malformed-request"},
+			{"coverage over 1", "desk", `{"work":"lookup","timeout-ms":9,"min-coverage":2}`, http.StatusBadRequest, "malformed-request"},
+			{"body over the limit", "desk", `{"work":"` + strings.Repeat("x", 2<<20) + `"}`, http.StatusRequestEntityTooLarge, "body-too-large"},
+			{"no idempotency key", "desk", `{"work":"lookup","timeout-ms":9,"repeatable":false}`, http.StatusBadRequest, "malformed-request"},
+		}
+		for _, c := range cases {
+			r, err := ask(address, c.customer, c.body)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred(), c.name)
+			gomega.Expect(r.status).To(gomega.Equal(c.status), c.name)
+			gomega.Expect(r.Kind).To(gomega.Equal(c.kind), c.name)
+			gomega.Expect(r.Ran).To(gomega.Equal("no"), c.name)
+			gomega.Expect(r.Coverage).To(gomega.Equal(identifier.Ratio(0)), c.name)
+		}
+		awaitFull(address)
+	})
+})
--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,40 @@
+// Package commander holds the subcommands of the lagooncleat program.
+//
+// Each subcommand is a type that google/subcommands runs. Exit codes are those
+// of that library: 0 for success, 1 for failure, 2 for wrong usage.
+//
+// # Usage
+//
+//	commander.Register(subcommands.DefaultCommander)
+//	flag.Parse()
+//	os.Exit(int(subcommands.Execute(context.Background())))
+package commander
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+)
+
+// Streams are where a command writes.
+type Streams struct {
+	Output io.Writer
+	Errors io.Writer
+}
+
+// Register adds all subcommands to the commander.
+func Register(c *subcommands.Commander, s Streams) {
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(c.CommandsCommand(), "")
+	c.Register(&serveCommand{streams: s}, "run")
+	c.Register(&demoCommand{streams: s}, "run")
+	c.Register(&checkCommand{streams: s}, "operate")
+}
+
+// fail prints an error and returns the exit status of a failure.
+func (s Streams) fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(s.Errors, err)
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator.go
@@ -0,0 +1,194 @@
+// Package demonstrator runs a whole deployment in one process: entry hosts and
+// fake backend servers, on loopback.
+//
+// The demo, tests and the load tool share it.
+//
+// # Usage
+//
+//	d, err := demonstrator.New(demonstrator.Demo(), loggers)
+//	defer d.Close()
+//	address := d.Hosts[0].Address(demonstrator.Callers)
+package demonstrator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/internal/faker"
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/internal/logger"
+	"github.com/lagooncleat/lagooncleat/internal/runner"
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// The listeners of an entry host.
+const (
+	Callers        = runner.Callers
+	BackendServers = runner.BackendServers
+	Operators      = runner.Operators
+)
+
+const fakerSubsystem reducer.Subsystem = "faker"
+
+// loopback takes a free port.
+const loopback identifier.Address = "127.0.0.1:0"
+
+// Service describes the replicas of one service; they alternate between the failure domains.
+type Service struct {
+	Service         identifier.ServiceID
+	Range           identifier.HashRange
+	Servers         int
+	Slots           identifier.Slots
+	Connections     identifier.Connections
+	Queue           int
+	ServiceTime     time.Duration
+	ConnectionSetup time.Duration
+}
+
+// Plan describes a deployment.
+type Plan struct {
+	Domains []identifier.DomainID
+	// HostsPerDomain is how many entry hosts stand in each failure domain.
+	HostsPerDomain int
+	Customers      loader.CustomersFile
+	Services       []Service
+	Epoch          identifier.Epoch
+	Versions       []identifier.IndexVersion
+	Seed           uint64
+}
+
+// Deployment is a running plan.
+type Deployment struct {
+	Hosts   []*runner.Runner
+	Servers []*faker.Server
+}
+
+// Demo returns the plan of the demo: three failure domains with an entry host
+// each, and four services of three backend servers.
+func Demo() Plan {
+	services := []identifier.ServiceID{"demo-1", "demo-2", "demo-3", "demo-4"}
+	partition := configurer.EvenPartition(1, services)
+	p := Plan{
+		Domains:        []identifier.DomainID{"fd-1", "fd-2", "fd-3"},
+		HostsPerDomain: 1,
+		Epoch:          1,
+		Versions:       []identifier.IndexVersion{1},
+		Seed:           1,
+		Customers: loader.CustomersFile{
+			Version: 1,
+			Templates: []configurer.Template{{
+				ID:    "demo",
+				Works: []configurer.Work{{Kind: "lookup", Rank: "urgent"}, {Kind: "batch", Rank: "deferrable"}},
+				Ranks: []configurer.RankParameters{
+					{Rank: "urgent", TimeoutMillis: 2000, MinCoverage: 0.9, Floor: 0.5, TargetMillis: 100, Objective: 0.99},
+					{Rank: "standard", TimeoutMillis: 5000, MinCoverage: 0.9, Floor: 0.1, TargetMillis: 500, Objective: 0.99},
+					{Rank: "deferrable", TimeoutMillis: 60000, MinCoverage: 1, Floor: 0.1, TargetMillis: 5000, Objective: 0.9},
+				},
+				Budgets: configurer.Budgets{Hedge: 0.05, Retry: 0.1},
+			}},
+			Customers: []configurer.Customer{{ID: "demo", Template: "demo", Partition: partition}},
+		},
+	}
+	for _, s := range partition.Shards {
+		p.Services = append(p.Services, Service{
+			Service: s.Service, Range: s.Range, Servers: 3, Slots: 3, Connections: 30, Queue: 3,
+			ServiceTime: 5 * time.Millisecond, ConnectionSetup: 6 * time.Millisecond,
+		})
+	}
+	return p
+}
+
+// New starts the deployment, or nothing when it returns an error.
+func New(p Plan, loggers *logger.Set) (*Deployment, error) {
+	d := &Deployment{}
+	if err := d.startHosts(p, loggers); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.startServers(p, loggers.Logger(fakerSubsystem)); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Close stops everything at once.
+func (d *Deployment) Close() {
+	for _, s := range d.Servers {
+		s.Close()
+	}
+	for _, h := range d.Hosts {
+		h.Kill()
+	}
+}
+
+func (d *Deployment) startHosts(p Plan, loggers *logger.Set) error {
+	var peers []loader.Peer
+	var sockets []runner.Sockets
+	for _, domain := range p.Domains {
+		for i := range p.HostsPerDomain {
+			open, err := runner.Open(loader.Listen{
+				Callers: loopback, BackendServers: loopback, Operators: loopback, Peers: loopback,
+			})
+			if err != nil {
+				return err
+			}
+			sockets = append(sockets, open)
+			host := identifier.HostID(fmt.Sprintf("%s-host-%d", domain, i+1))
+			peers = append(peers, loader.Peer{Host: host, Domain: domain, Address: open.Address(runner.Peers)})
+		}
+	}
+	for i, self := range peers {
+		d.Hosts = append(d.Hosts, runner.New(loader.Settings{
+			Host:          self.Host,
+			Domain:        self.Domain,
+			Peers:         slices.Concat(peers[:i], peers[i+1:]),
+			TrafficStates: loader.DefaultTrafficStates,
+			Shutdown:      loader.Shutdown{TimeoutMillis: loader.DefaultShutdownTimeoutMillis},
+		}, p.Customers, sockets[i], loggers))
+	}
+	return nil
+}
+
+func (d *Deployment) startServers(p Plan, l hclog.Logger) error {
+	for _, service := range p.Services {
+		for i := range service.Servers {
+			domain := i % len(p.Domains)
+			s, err := faker.New(faker.Parameters{
+				Server:          identifier.ServerID(fmt.Sprintf("%s-%d", service.Service, i+1)),
+				Incarnation:     1,
+				Service:         service.Service,
+				Domain:          p.Domains[domain],
+				Listen:          loopback,
+				Announce:        d.announceTo(p, domain),
+				Slots:           service.Slots,
+				Connections:     service.Connections,
+				Queue:           service.Queue,
+				ServiceTime:     service.ServiceTime,
+				ConnectionSetup: service.ConnectionSetup,
+				Holdings:        []leaser.Holding{{Epoch: p.Epoch, Range: service.Range, Versions: p.Versions}},
+				Seed:            p.Seed + uint64(len(d.Servers)),
+			}, l)
+			if err != nil {
+				return err
+			}
+			d.Servers = append(d.Servers, s)
+		}
+	}
+	return nil
+}
+
+// announceTo returns the addresses of the failure domain's entry hosts.
+func (d *Deployment) announceTo(p Plan, domain int) []identifier.Address {
+	var addresses []identifier.Address
+	for _, h := range d.Hosts[domain*p.HostsPerDomain : (domain+1)*p.HostsPerDomain] {
+		addresses = append(addresses, h.Address(BackendServers))
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/executor/effect.go
@@ -0,0 +1,100 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// execute carries out one effect of the loop's state.
+func (h *Host) execute(l *loop, effect reducer.Effect) {
+	switch e := effect.(type) {
+	case reducer.Wake:
+		l.wakeAt(e.At)
+	case reducer.Send:
+		h.send(e)
+	case reducer.Log:
+		h.log(e)
+	case reducer.Count:
+		h.dependencies.Counters.Count(e)
+	case reducer.PublishView:
+		h.publish(e.View)
+	case reducer.GrantLease:
+		if c := h.takeLease(e.Ticket); c != nil {
+			c <- Lease{Term: e.Term, Owner: e.Owner}
+		}
+	case reducer.Call:
+		h.call(e)
+	case reducer.CancelCall:
+		h.cancelCall(e.Attempt)
+	case reducer.Reply:
+		if c := h.takeQuery(e.Request); c != nil {
+			c <- e.Outcome
+		}
+	default:
+		panic(fmt.Sprintf("executor: unknown effect %T", effect))
+	}
+}
+
+func (h *Host) send(e reducer.Send) {
+	if e.To == h.parameters.Reducer.Host {
+		h.Deliver(e.Event)
+		return
+	}
+	h.sender.Send(e.To, e.Event)
+}
+
+func (h *Host) publish(v *reducer.View) {
+	h.view.Store(v)
+	for _, l := range h.traffic {
+		l.mailbox.put(reducer.ViewPublished{View: v})
+	}
+}
+
+// call runs a call on its own goroutine; the result comes back as an event.
+func (h *Host) call(e reducer.Call) {
+	remaining := e.Deadline.Since(h.clock.now())
+	ctx, cancel := context.WithTimeout(h.context, remaining.Duration())
+	h.mutex.Lock()
+	h.calls[e.Attempt] = cancel
+	h.mutex.Unlock()
+	h.group.Go(func() {
+		result := h.dependencies.Caller.Do(ctx, e, remaining)
+		h.cancelCall(e.Attempt)
+		h.Deliver(result)
+	})
+}
+
+func (h *Host) cancelCall(id identifier.AttemptID) {
+	h.mutex.Lock()
+	cancel, ok := h.calls[id]
+	delete(h.calls, id)
+	h.mutex.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+func (h *Host) log(e reducer.Log) {
+	fields := make([]any, 0, 2*len(e.Fields))
+	for _, f := range e.Fields {
+		fields = append(fields, f.Name, f.Value)
+	}
+	h.dependencies.Loggers.Logger(e.Subsystem).Log(logLevel(e.Level), e.Message, fields...)
+}
+
+func logLevel(l reducer.LogLevel) hclog.Level {
+	switch l {
+	case reducer.Debug:
+		return hclog.Debug
+	case reducer.Info:
+		return hclog.Info
+	case reducer.Warn:
+		return hclog.Warn
+	}
+	return hclog.Error
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,238 @@
+// Package executor runs the reducers of one entry host and carries out their effects.
+//
+// One goroutine reduces control state; several others reduce traffic. Each
+// blocks on its mailbox and one timer. The executor holds no policy: it moves
+// events between states, hosts, backend servers and callers.
+//
+// # Usage
+//
+//	h := executor.New(parameters, dependencies)
+//	h.Start()
+//	outcome, err := h.Query(ctx, arrived)
+//	h.Stop()
+package executor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// Sender carries events to other entry hosts.
+type Sender interface {
+	Send(to identifier.HostID, event reducer.Event)
+}
+
+// Caller runs calls on backend servers.
+type Caller interface {
+	Do(ctx context.Context, call reducer.Call, remaining identifier.Micros) reducer.SlotEvent
+}
+
+// Counters counts what happens.
+type Counters interface {
+	Count(reducer.Count)
+}
+
+// Loggers gives the logger of a subsystem.
+type Loggers interface {
+	Logger(reducer.Subsystem) hclog.Logger
+}
+
+// Parameters configure a Host.
+type Parameters struct {
+	Reducer reducer.Parameters
+	// TrafficStates is how many goroutines reduce traffic; at least 1.
+	TrafficStates int
+	// Seed feeds the random choices; states derive their own from it.
+	Seed uint64
+}
+
+// Dependencies are what a Host carries out effects with.
+type Dependencies struct {
+	Caller   Caller
+	Counters Counters
+	Loggers  Loggers
+}
+
+// Lease is the answer to an announcement.
+type Lease struct {
+	Term  identifier.Micros
+	Owner identifier.HostID
+}
+
+// Host runs the states of one entry host.
+type Host struct {
+	parameters   Parameters
+	dependencies Dependencies
+	sender       Sender
+	clock        clock
+	control      *loop
+	traffic      []*loop
+	view         atomic.Pointer[reducer.View]
+	group        sync.WaitGroup
+	context      context.Context
+	cancel       context.CancelFunc
+
+	tickets atomic.Uint64
+	mutex   sync.Mutex
+	queries map[identifier.RequestID]chan reducer.Outcome
+	leases  map[reducer.Ticket]chan Lease
+	calls   map[identifier.AttemptID]context.CancelFunc
+}
+
+// New returns a Host that has not started.
+func New(p Parameters, d Dependencies) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		parameters:   p,
+		dependencies: d,
+		clock:        newClock(),
+		context:      ctx,
+		cancel:       cancel,
+		queries:      map[identifier.RequestID]chan reducer.Outcome{},
+		leases:       map[reducer.Ticket]chan Lease{},
+		calls:        map[identifier.AttemptID]context.CancelFunc{},
+	}
+	h.view.Store(&reducer.View{})
+	h.control = newLoop(h)
+	for range p.TrafficStates {
+		h.traffic = append(h.traffic, newLoop(h))
+	}
+	return h
+}
+
+// Start begins to reduce events and to send to other hosts through the sender.
+func (h *Host) Start(sender Sender) {
+	h.sender = sender
+	for i, l := range append([]*loop{h.control}, h.traffic...) {
+		l.mailbox.put(reducer.Started{Seed: h.parameters.Seed + uint64(i)})
+		h.group.Go(l.run)
+	}
+	h.control.mailbox.put(reducer.HostStarted{})
+}
+
+// Stop ends all goroutines and calls. Leave comes first in a graceful shutdown.
+func (h *Host) Stop() {
+	h.cancel()
+	h.group.Wait()
+}
+
+// Leave hands the host's servers to other hosts and waits until no query and no
+// call is in flight, or the context ends.
+func (h *Host) Leave(ctx context.Context) {
+	h.control.mailbox.put(reducer.HostLeaving{})
+	poll := time.NewTicker(idlePollInterval)
+	defer poll.Stop()
+	for quiet := 0; quiet < quietPolls; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
+		quiet++
+		if h.inFlight() > 0 {
+			quiet = 0
+		}
+	}
+}
+
+const (
+	// idlePollInterval separates the looks at what is in flight during a shutdown.
+	idlePollInterval = 10 * time.Millisecond
+	// quietPolls is how many looks in a row must find nothing in flight.
+	quietPolls = 20
+)
+
+func (h *Host) inFlight() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.queries) + len(h.calls)
+}
+
+// View returns what control knew last.
+func (h *Host) View() *reducer.View {
+	return h.view.Load()
+}
+
+// Now returns the host's clock.
+func (h *Host) Now() identifier.Instant {
+	return h.clock.now()
+}
+
+// Deliver gives an event to the state that it belongs to; process events go to all states.
+func (h *Host) Deliver(event reducer.Event) {
+	switch e := event.(type) {
+	case reducer.ProcessEvent:
+		for _, l := range append([]*loop{h.control}, h.traffic...) {
+			l.mailbox.put(event)
+		}
+	case reducer.QueryEvent:
+		h.trafficLoop(string(e.Key())).mailbox.put(event)
+	case reducer.SlotEvent:
+		h.trafficLoop(string(e.Key())).mailbox.put(event)
+	default:
+		h.control.mailbox.put(event)
+	}
+}
+
+func (h *Host) trafficLoop(key string) *loop {
+	return h.traffic[xxhash.Sum64String(key)%uint64(len(h.traffic))]
+}
+
+// Query runs a query and returns how it ended. It returns the context's error
+// when the caller gives up first.
+func (h *Host) Query(ctx context.Context, arrived reducer.QueryArrived) (reducer.Outcome, error) {
+	outcome := make(chan reducer.Outcome, 1)
+	h.mutex.Lock()
+	h.queries[arrived.Request] = outcome
+	h.mutex.Unlock()
+	h.Deliver(arrived)
+	select {
+	case o := <-outcome:
+		return o, nil
+	case <-ctx.Done():
+		h.takeQuery(arrived.Request)
+		h.Deliver(reducer.QueryAbandoned{Request: arrived.Request})
+		return nil, ctx.Err()
+	}
+}
+
+// Announce renews a backend server's lease. It returns the context's error when that ends first.
+func (h *Host) Announce(ctx context.Context, announced reducer.ServerAnnounced) (Lease, error) {
+	announced.Ticket = reducer.Ticket(h.tickets.Add(1))
+	answer := make(chan Lease, 1)
+	h.mutex.Lock()
+	h.leases[announced.Ticket] = answer
+	h.mutex.Unlock()
+	h.Deliver(announced)
+	select {
+	case l := <-answer:
+		return l, nil
+	case <-ctx.Done():
+		h.takeLease(announced.Ticket)
+		return Lease{}, ctx.Err()
+	}
+}
+
+func (h *Host) takeQuery(id identifier.RequestID) chan reducer.Outcome {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	c := h.queries[id]
+	delete(h.queries, id)
+	return c
+}
+
+func (h *Host) takeLease(t reducer.Ticket) chan Lease {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	c := h.leases[t]
+	delete(h.leases, t)
+	return c
+}
--- /dev/null
+++ b/internal/executor/loop.go
@@ -0,0 +1,72 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// clock reads instants that never step back within the process.
+type clock struct {
+	start time.Time
+}
+
+func newClock() clock {
+	return clock{start: time.Now()}
+}
+
+func (c clock) now() identifier.Instant {
+	return identifier.Instant(c.start.UnixMicro()) + identifier.Instant(time.Since(c.start).Microseconds())
+}
+
+// loop is the goroutine that reduces one state.
+type loop struct {
+	host    *Host
+	state   *reducer.State
+	mailbox *mailbox
+	timer   *time.Timer
+}
+
+func newLoop(h *Host) *loop {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &loop{
+		host:    h,
+		state:   reducer.New(h.parameters.Reducer),
+		mailbox: newMailbox(),
+		timer:   timer,
+	}
+}
+
+// run blocks on the mailbox and the timer until the host stops.
+func (l *loop) run() {
+	defer l.mailbox.close()
+	var spare []reducer.Event
+	for {
+		select {
+		case <-l.host.context.Done():
+			return
+		case <-l.timer.C:
+			l.reduce(reducer.Woken{})
+		case <-l.mailbox.signal:
+			events := l.mailbox.take(spare)
+			for i, e := range events {
+				l.reduce(e)
+				events[i] = nil
+			}
+			spare = events
+		}
+	}
+}
+
+func (l *loop) reduce(e reducer.Event) {
+	for _, effect := range l.state.Reduce(l.host.clock.now(), e) {
+		l.host.execute(l, effect)
+	}
+}
+
+// wakeAt replaces the instant of the next Woken event.
+func (l *loop) wakeAt(at identifier.Instant) {
+	l.timer.Reset(at.Since(l.host.clock.now()).Duration())
+}
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,223 @@
+package loader
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// Default values of settings that may be left out.
+const (
+	DefaultTrafficStates         = 2
+	DefaultShutdownTimeoutMillis = 30000
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File   string
+	Line   int
+	Field  string
+	Reason string
+}
+
+// String returns the fault in the form file:line: field: reason.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Reason)
+}
+
+// FaultsError holds all faults of a file.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error lists the faults, a line each.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// document is a file that is being checked.
+type document struct {
+	file   string
+	root   yaml.Node
+	faults []Fault
+}
+
+// LoadSettings reads and checks the settings of an entry host. It returns a
+// *FaultsError when the file can be read but breaks a rule.
+func LoadSettings(file string) (Settings, error) {
+	var s Settings
+	d, err := read(file, &s)
+	if err != nil {
+		return Settings{}, err
+	}
+	d.require("host", string(s.Host))
+	d.require("failure-domain", string(s.Domain))
+	d.require("customers", s.Customers)
+	d.checkAddress("listen.callers", s.Listen.Callers)
+	d.checkAddress("listen.backend-servers", s.Listen.BackendServers)
+	d.checkAddress("listen.operators", s.Listen.Operators)
+	d.checkAddress("listen.peers", s.Listen.Peers)
+	d.checkPeers(s)
+	if s.TrafficStates < 0 {
+		d.fault("traffic-states", "must not be negative")
+	}
+	if s.Shutdown.BalancerDelayMillis < 0 || s.Shutdown.TimeoutMillis < 0 {
+		d.fault("shutdown", "spans must not be negative")
+	}
+	if s.TrafficStates == 0 {
+		s.TrafficStates = DefaultTrafficStates
+	}
+	if s.Shutdown.TimeoutMillis == 0 {
+		s.Shutdown.TimeoutMillis = DefaultShutdownTimeoutMillis
+	}
+	if !filepath.IsAbs(s.Customers) {
+		s.Customers = filepath.Join(filepath.Dir(file), s.Customers)
+	}
+	return s, d.err()
+}
+
+func (d *document) checkPeers(s Settings) {
+	seen := map[identifier.HostID]bool{s.Host: true}
+	for i, p := range s.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		d.require(field+".host", string(p.Host))
+		d.require(field+".failure-domain", string(p.Domain))
+		d.checkAddress(field+".address", p.Address)
+		if seen[p.Host] {
+			d.fault(field+".host", "names a host twice")
+		}
+		seen[p.Host] = true
+	}
+}
+
+// LoadCustomers reads and checks templates and customers. It returns a
+// *FaultsError when the file can be read but breaks a rule.
+func LoadCustomers(file string) (CustomersFile, error) {
+	var c CustomersFile
+	d, err := read(file, &c)
+	if err != nil {
+		return CustomersFile{}, err
+	}
+	if c.Version == 0 {
+		d.fault("version", "must be above 0")
+	}
+	templates := map[identifier.TemplateID]configurer.Template{}
+	for _, t := range c.Templates {
+		templates[t.ID] = t
+	}
+	for i, customer := range c.Customers {
+		field := fmt.Sprintf("customers[%d]", i)
+		template, ok := templates[customer.Template]
+		if !ok {
+			d.fault(field+".template", "names no template of this file")
+			continue
+		}
+		var invalid *configurer.InvalidFieldError
+		if _, err := configurer.Resolve(template, customer); errors.As(err, &invalid) {
+			d.fault(field+"."+invalid.Field, invalid.Reason)
+		}
+	}
+	return c, d.err()
+}
+
+var yamlLine = regexp.MustCompile(`line (\d+): (.*)`)
+
+// read decodes a file strictly into the target and keeps its nodes for line numbers.
+func read(file string, target any) (*document, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	d := &document{file: file}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(target); err != nil {
+		for _, match := range yamlLine.FindAllStringSubmatch(err.Error(), -1) {
+			line, _ := strconv.Atoi(match[1])
+			d.faults = append(d.faults, Fault{File: file, Line: line, Field: "(syntax)", Reason: match[2]})
+		}
+		if len(d.faults) == 0 {
+			d.faults = []Fault{{File: file, Line: 1, Field: "(syntax)", Reason: err.Error()}}
+		}
+		return nil, d.err()
+	}
+	if err := yaml.Unmarshal(data, &d.root); err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return d, nil
+}
+
+func (d *document) err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return &FaultsError{Faults: d.faults}
+}
+
+func (d *document) fault(field, reason string) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: d.line(field), Field: field, Reason: reason})
+}
+
+func (d *document) require(field, value string) {
+	if value == "" {
+		d.fault(field, "must be set")
+	}
+}
+
+func (d *document) checkAddress(field string, a identifier.Address) {
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		d.fault(field, "must be an IP number and port, as in 127.0.0.1:8001")
+	}
+}
+
+var fieldStep = regexp.MustCompile(`[^.\[\]]+`)
+
+// line returns the line of the field, or of the deepest part of its path that the file has.
+func (d *document) line(field string) int {
+	if len(d.root.Content) == 0 {
+		return 1
+	}
+	node := d.root.Content[0]
+	line := node.Line
+	for _, step := range fieldStep.FindAllString(field, -1) {
+		var next *yaml.Node
+		next, line = child(node, step, line)
+		if next == nil {
+			return line
+		}
+		node = next
+	}
+	return line
+}
+
+// child returns the value of a key or index and its line, or nil and the given line.
+func child(node *yaml.Node, step string, line int) (*yaml.Node, int) {
+	switch node.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			if node.Content[i].Value == step {
+				return node.Content[i+1], node.Content[i].Line
+			}
+		}
+	case yaml.SequenceNode:
+		if i, err := strconv.Atoi(step); err == nil && i < len(node.Content) {
+			return node.Content[i], node.Content[i].Line
+		}
+	}
+	return nil, line
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,89 @@
+// Package loader reads settings, templates and customers from YAML files and
+// checks them in full before anything starts.
+//
+// Every fault is reported with its file, line, field and reason; an unknown
+// field is a fault.
+//
+// # Usage
+//
+//	settings, err := loader.LoadSettings("h-1.yaml")
+//	var faults *loader.FaultsError
+//	if errors.As(err, &faults) {
+//		...
+//	}
+package loader
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	// Host is the entry host's id, unique in the deployment.
+	Host identifier.HostID `yaml:"host"`
+	// Domain is the failure domain that the host stands in.
+	Domain identifier.DomainID `yaml:"failure-domain"`
+	// Listen holds the addresses that the host listens on.
+	Listen Listen `yaml:"listen"`
+	// Peers are the other entry hosts.
+	Peers []Peer `yaml:"peers"`
+	// Customers is the file of the first templates and customers, relative to the settings file.
+	Customers string `yaml:"customers"`
+	// TrafficStates is how many goroutines reduce traffic; 0 takes the default of 2.
+	TrafficStates int `yaml:"traffic-states"`
+	// Logs sets what is logged.
+	Logs Logs `yaml:"logs"`
+	// Shutdown sets the steps of a graceful shutdown.
+	Shutdown Shutdown `yaml:"shutdown"`
+}
+
+// Listen holds the addresses of the four listeners.
+type Listen struct {
+	// Callers is the address for callers' queries.
+	Callers identifier.Address `yaml:"callers"`
+	// BackendServers is the address for backend servers' announcements.
+	BackendServers identifier.Address `yaml:"backend-servers"`
+	// Operators is the address for operators, metrics and probes.
+	Operators identifier.Address `yaml:"operators"`
+	// Peers is the address for other entry hosts.
+	Peers identifier.Address `yaml:"peers"`
+}
+
+// Peer is another entry host.
+type Peer struct {
+	// Host is the peer's id.
+	Host identifier.HostID `yaml:"host"`
+	// Domain is the peer's failure domain.
+	Domain identifier.DomainID `yaml:"failure-domain"`
+	// Address is the peer's address for other entry hosts.
+	Address identifier.Address `yaml:"address"`
+}
+
+// Logs sets the levels of the loggers: trace, debug, info, warn, error or off.
+type Logs struct {
+	// Level applies to every subsystem that has none of its own; the default is info.
+	Level string `yaml:"level"`
+	// Subsystems overrides the level by subsystem.
+	Subsystems map[string]string `yaml:"subsystems"`
+	// JSON writes each line as a JSON object.
+	JSON bool `yaml:"json"`
+}
+
+// Shutdown sets the steps of a graceful shutdown.
+type Shutdown struct {
+	// BalancerDelayMillis is how long listeners stay open after readiness fails, in milliseconds.
+	BalancerDelayMillis int64 `yaml:"balancer-delay-ms"`
+	// TimeoutMillis bounds the wait for requests in flight, in milliseconds; 0 takes the default of 30000.
+	TimeoutMillis int64 `yaml:"timeout-ms"`
+}
+
+// CustomersFile holds templates and customers.
+type CustomersFile struct {
+	// Version numbers the configuration; it must be above 0.
+	Version identifier.Version `yaml:"version"`
+	// Templates are the templates that the customers name.
+	Templates []configurer.Template `yaml:"templates"`
+	// Customers are the customers.
+	Customers []configurer.Customer `yaml:"customers"`
+}
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,96 @@
+// Package logger makes one hclog logger for each subsystem.
+//
+// All subsystems write to one output at a common level, but for those whose
+// level is set by name.
+//
+// # Usage
+//
+//	s, err := logger.New(os.Stderr, logger.Parameters{Level: "info"})
+//	s.Logger("membership").Info("entry host is live", "host", "h-1")
+package logger
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// Parameters are the levels of the loggers.
+type Parameters struct {
+	// Level is trace, debug, info, warn, error or off.
+	Level string
+	// Subsystems overrides the level by subsystem.
+	Subsystems map[string]string
+	// JSON writes lines as JSON objects.
+	JSON bool
+}
+
+// InvalidLevelError reports a level that does not exist.
+type InvalidLevelError struct {
+	Level string
+}
+
+// Error lists the valid levels.
+func (e *InvalidLevelError) Error() string {
+	return fmt.Sprintf("log level %q is none of trace, debug, info, warn, error, off", e.Level)
+}
+
+// Set holds the loggers of all subsystems. It is safe for concurrent use.
+type Set struct {
+	root    hclog.Logger
+	levels  map[string]hclog.Level
+	mutex   sync.Mutex
+	loggers map[reducer.Subsystem]hclog.Logger
+}
+
+// New returns the loggers, or an *InvalidLevelError.
+func New(output io.Writer, p Parameters) (*Set, error) {
+	level, err := parse(p.Level)
+	if err != nil {
+		return nil, err
+	}
+	s := &Set{levels: map[string]hclog.Level{}, loggers: map[reducer.Subsystem]hclog.Logger{}}
+	for name, text := range p.Subsystems {
+		if s.levels[name], err = parse(text); err != nil {
+			return nil, err
+		}
+	}
+	s.root = hclog.New(&hclog.LoggerOptions{
+		Name:              "lagooncleat",
+		Output:            output,
+		Level:             level,
+		JSONFormat:        p.JSON,
+		IndependentLevels: true,
+	})
+	return s, nil
+}
+
+func parse(text string) (hclog.Level, error) {
+	if text == "" {
+		return hclog.Info, nil
+	}
+	level := hclog.LevelFromString(text)
+	if level == hclog.NoLevel {
+		return level, &InvalidLevelError{Level: text}
+	}
+	return level, nil
+}
+
+// Logger returns the logger of the subsystem.
+func (s *Set) Logger(name reducer.Subsystem) hclog.Logger {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if l, ok := s.loggers[name]; ok {
+		return l
+	}
+	l := s.root.Named(string(name))
+	if level, ok := s.levels[string(name)]; ok {
+		l.SetLevel(level)
+	}
+	s.loggers[name] = l
+	return l
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,188 @@
+// Package runner assembles one entry host from its settings and runs it.
+//
+// # Usage
+//
+//	sockets, err := runner.Open(settings.Listen)
+//	if err != nil {
+//		return err
+//	}
+//	r := runner.New(settings, customers, sockets, loggers)
+//	<-stop
+//	r.Shutdown()
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/internal/caller"
+	"github.com/lagooncleat/lagooncleat/internal/executor"
+	"github.com/lagooncleat/lagooncleat/internal/listener"
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/internal/logger"
+	"github.com/lagooncleat/lagooncleat/internal/messenger"
+	"github.com/lagooncleat/lagooncleat/internal/meter"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+	"github.com/lagooncleat/lagooncleat/pkg/router"
+)
+
+const (
+	runnerSubsystem    reducer.Subsystem = "runner"
+	messengerSubsystem reducer.Subsystem = "messenger"
+	// headerTimeout bounds the time to read a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Runner is one running entry host.
+type Runner struct {
+	settings  loader.Settings
+	logger    hclog.Logger
+	host      *executor.Host
+	messenger *messenger.Messenger
+	caller    *caller.Caller
+	servers   []*http.Server
+	sockets   Sockets
+	group     sync.WaitGroup
+	stopping  atomic.Bool
+}
+
+// ListenerIndex names a listener of a Runner.
+type ListenerIndex int
+
+// The listeners of a Runner.
+const (
+	Callers ListenerIndex = iota
+	BackendServers
+	Operators
+	Peers
+	listenerCount
+)
+
+// Sockets are the open listeners of an entry host, by ListenerIndex.
+type Sockets [listenerCount]net.Listener
+
+// Open opens all listeners, or none when it returns an error.
+func Open(l loader.Listen) (Sockets, error) {
+	var sockets Sockets
+	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers} {
+		socket, err := net.Listen("tcp", string(address))
+		if err != nil {
+			for _, open := range sockets[:i] {
+				open.Close()
+			}
+			return Sockets{}, fmt.Errorf("listen: %w", err)
+		}
+		sockets[i] = socket
+	}
+	return sockets, nil
+}
+
+// Address returns where the listener listens.
+func (s Sockets) Address(l ListenerIndex) identifier.Address {
+	return identifier.Address(s[l].Addr().String())
+}
+
+// New starts an entry host on the open sockets, which it closes when it stops.
+func New(s loader.Settings, c loader.CustomersFile, sockets Sockets, loggers *logger.Set) *Runner {
+	r := &Runner{settings: s, sockets: sockets, logger: loggers.Logger(runnerSubsystem), caller: caller.New()}
+	counters := meter.New()
+	r.host = executor.New(executor.Parameters{
+		Reducer:       reducer.Parameters{Host: s.Host, Domain: s.Domain, Peers: peerHosts(s)},
+		TrafficStates: s.TrafficStates,
+		Seed:          uint64(time.Now().UnixNano()),
+	}, executor.Dependencies{Caller: r.caller, Counters: counters, Loggers: loggers})
+	r.messenger = messenger.New(messenger.Parameters{Host: s.Host, Peers: peerAddresses(s)},
+		r.host.Deliver, loggers.Logger(messengerSubsystem))
+	r.host.Start(r.messenger)
+	r.host.Deliver(reducer.ConfigurationLoaded{Version: c.Version, Templates: c.Templates, Customers: c.Customers})
+	counters.Gauge("lagooncleat_configuration_version", func() float64 {
+		return float64(r.host.View().Configuration)
+	})
+	r.serve(listener.NewCallers(r.host, counters), r.sockets[Callers])
+	r.serve(listener.NewBackends(r.host), r.sockets[BackendServers])
+	r.serve(listener.NewOperators(s.Host, r.host, counters, r.Ready), r.sockets[Operators])
+	r.group.Go(func() {
+		if err := r.messenger.Serve(r.sockets[Peers]); err != nil {
+			r.logger.Error("peer listener failed", "error", err)
+		}
+	})
+	r.logger.Info("entry host started", "host", s.Host, "failure-domain", s.Domain)
+	return r
+}
+
+func peerHosts(s loader.Settings) []router.Host {
+	hosts := make([]router.Host, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		hosts = append(hosts, router.Host{ID: p.Host, Domain: p.Domain})
+	}
+	return hosts
+}
+
+func peerAddresses(s loader.Settings) map[identifier.HostID]identifier.Address {
+	addresses := map[identifier.HostID]identifier.Address{}
+	for _, p := range s.Peers {
+		addresses[p.Host] = p.Address
+	}
+	return addresses
+}
+
+func (r *Runner) serve(h http.Handler, socket net.Listener) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	r.servers = append(r.servers, server)
+	r.group.Go(func() {
+		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			r.logger.Error("listener failed", "error", err)
+		}
+	})
+}
+
+// Ready reports whether the host takes new callers: a configuration is in force
+// and no shutdown has begun.
+func (r *Runner) Ready() bool {
+	return !r.stopping.Load() && r.host.View().Configuration > 0
+}
+
+// Address returns where the host's listener listens.
+func (r *Runner) Address(l ListenerIndex) identifier.Address {
+	return r.sockets.Address(l)
+}
+
+// Shutdown stops the host gracefully: readiness fails first, the listeners stay
+// open for the balancer's delay, requests in flight finish, and the servers that
+// the host owns pass to others. It returns when everything has ended.
+func (r *Runner) Shutdown() {
+	r.stopping.Store(true)
+	r.logger.Info("shutdown began", "host", r.settings.Host)
+	time.Sleep(time.Duration(r.settings.Shutdown.BalancerDelayMillis) * time.Millisecond)
+	timeout := time.Duration(r.settings.Shutdown.TimeoutMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := r.servers[Callers].Shutdown(ctx); err != nil {
+		r.logger.Warn("queries were still in flight at the shutdown timeout", "error", err)
+	}
+	r.host.Leave(ctx)
+	r.Kill()
+	r.logger.Info("shutdown done", "host", r.settings.Host)
+}
+
+// Kill stops the host at once, as a crash would.
+func (r *Runner) Kill() {
+	r.stopping.Store(true)
+	for _, s := range r.servers {
+		s.Close()
+	}
+	r.sockets[Peers].Close()
+	r.messenger.Close()
+	r.host.Stop()
+	r.caller.Close()
+	r.group.Wait()
+}
--- /dev/null
+++ b/pkg/reducer/event.go
@@ -0,0 +1,286 @@
+package reducer
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+)
+
+// Event is anything that happens to an entry host. It is sealed: the types of
+// this package are all there are.
+type Event interface{ isEvent() }
+
+// ProcessEvent is the family of events that every state of a host receives.
+type ProcessEvent interface {
+	Event
+	isProcessEvent()
+}
+
+// MembershipEvent is the family about backend servers and entry hosts.
+type MembershipEvent interface {
+	Event
+	isMembershipEvent()
+}
+
+// ConfigurationEvent is the family about templates and customers.
+type ConfigurationEvent interface {
+	Event
+	isConfigurationEvent()
+}
+
+// QueryEvent is the family about callers' queries and the parts of their answers.
+type QueryEvent interface {
+	Event
+	isQueryEvent()
+	// Key returns the request, which decides the traffic state that the event belongs to.
+	Key() identifier.RequestID
+}
+
+// SlotEvent is the family about the slots of backend servers, kept by their owner.
+type SlotEvent interface {
+	Event
+	isSlotEvent()
+	// Key returns the server, which decides the traffic state that the event belongs to.
+	Key() identifier.ServerID
+}
+
+type processEvent struct{}
+
+func (processEvent) isEvent()        {}
+func (processEvent) isProcessEvent() {}
+
+type membershipEvent struct{}
+
+func (membershipEvent) isEvent()           {}
+func (membershipEvent) isMembershipEvent() {}
+
+type configurationEvent struct{}
+
+func (configurationEvent) isEvent()              {}
+func (configurationEvent) isConfigurationEvent() {}
+
+type queryEvent struct{}
+
+func (queryEvent) isEvent()      {}
+func (queryEvent) isQueryEvent() {}
+
+type slotEvent struct{}
+
+func (slotEvent) isEvent()     {}
+func (slotEvent) isSlotEvent() {}
+
+// Process events.
+type (
+	// Started is the first event of every state. Seed feeds its random choices.
+	Started struct {
+		processEvent
+		Seed uint64
+	}
+	// Woken reports that the instant of the last Wake effect has come.
+	Woken struct{ processEvent }
+	// ViewPublished hands a traffic state what control knows.
+	ViewPublished struct {
+		processEvent
+		View *View
+	}
+	// PeerDisconnected reports that a connection with another host ended; events
+	// on their way in either direction may be lost.
+	PeerDisconnected struct {
+		processEvent
+		Host identifier.HostID
+	}
+)
+
+// Ticket matches a reply effect to the connection that waits for it.
+type Ticket uint64
+
+// Membership events.
+type (
+	// HostStarted makes this host known to the others.
+	HostStarted struct{ membershipEvent }
+	// HostLeaving hands this host's servers to the others before a graceful shutdown.
+	HostLeaving struct{ membershipEvent }
+	// ServerAnnounced carries an announcement made by a backend server to this host.
+	ServerAnnounced struct {
+		membershipEvent
+		Ticket       Ticket
+		Announcement leaser.Announcement
+	}
+	// ServerRelayed carries an announcement that another host received.
+	ServerRelayed struct {
+		membershipEvent
+		Announcement leaser.Announcement `msgpack:"a"`
+		// Age is the time since the announcement was made, in microseconds.
+		Age identifier.Micros `msgpack:"g"`
+	}
+	// HostHeard is another entry host's heartbeat.
+	HostHeard struct {
+		membershipEvent
+		Host   identifier.HostID   `msgpack:"h"`
+		Domain identifier.DomainID `msgpack:"d"`
+		// Leaving is set by a host that shuts down.
+		Leaving bool `msgpack:"l"`
+	}
+)
+
+// ConfigurationLoaded replaces all templates and customers by those of a higher version.
+type ConfigurationLoaded struct {
+	configurationEvent
+	Version   identifier.Version
+	Templates []configurer.Template
+	Customers []configurer.Customer
+}
+
+// Query events.
+type (
+	// QueryArrived is a caller's query, checked for form.
+	QueryArrived struct {
+		queryEvent
+		Request  identifier.RequestID
+		Customer identifier.CustomerID
+		Work     identifier.WorkKind
+		// Timeout is how long the caller waits, in microseconds.
+		Timeout identifier.Micros
+		// MinCoverage raises the customer's own least coverage, never lowers it.
+		MinCoverage identifier.Ratio
+		Repeatable  bool
+		// IdempotencyKey and IssuedAt are set when the query is not repeatable.
+		IdempotencyKey identifier.IdempotencyKey
+		IssuedAt       identifier.Instant
+		Fingerprint    identifier.Fingerprint
+		Body           []byte
+	}
+	// QueryAbandoned reports that the caller closed its connection.
+	QueryAbandoned struct {
+		queryEvent
+		Request identifier.RequestID
+	}
+	// AttemptServed carries one part of an answer.
+	AttemptServed struct {
+		queryEvent
+		Attempt  identifier.AttemptID `msgpack:"a"`
+		Server   identifier.ServerID  `msgpack:"s"`
+		Snapshot identifier.Snapshot  `msgpack:"n"`
+		Range    identifier.HashRange `msgpack:"r"`
+		Body     []byte               `msgpack:"b"`
+	}
+	// AttemptRefused reports an attempt that did not run.
+	AttemptRefused struct {
+		queryEvent
+		Attempt identifier.AttemptID `msgpack:"a"`
+		Server  identifier.ServerID  `msgpack:"s"`
+		Reason  RefusalReason        `msgpack:"e"`
+	}
+	// AttemptLost reports an attempt that may have run and whose result is unknown.
+	AttemptLost struct {
+		queryEvent
+		Attempt identifier.AttemptID `msgpack:"a"`
+		Server  identifier.ServerID  `msgpack:"s"`
+	}
+)
+
+// RefusalReason says why an attempt did not run.
+type RefusalReason uint8
+
+// The reasons for a refusal.
+const (
+	// RefusedByServer means that the backend server shed the attempt.
+	RefusedByServer RefusalReason = iota
+	// RefusedUnreachable means that no connection to the server could be made.
+	RefusedUnreachable
+	// RefusedExpired means that the deadline passed in the queue.
+	RefusedExpired
+	// RefusedNotOwner means that the host does not own the server or knows no lease of it.
+	RefusedNotOwner
+	// RefusedSnapshot means that the server no longer holds the pinned snapshot.
+	RefusedSnapshot
+)
+
+// Key returns the request of the query.
+func (e QueryArrived) Key() identifier.RequestID { return e.Request }
+
+// Key returns the request of the query.
+func (e QueryAbandoned) Key() identifier.RequestID { return e.Request }
+
+// Key returns the request that the attempt belongs to.
+func (e AttemptServed) Key() identifier.RequestID { return e.Attempt.Request }
+
+// Key returns the request that the attempt belongs to.
+func (e AttemptRefused) Key() identifier.RequestID { return e.Attempt.Request }
+
+// Key returns the request that the attempt belongs to.
+func (e AttemptLost) Key() identifier.RequestID { return e.Attempt.Request }
+
+// Slot events.
+type (
+	// AttemptSubmitted asks the owner of a server to run an attempt on it.
+	AttemptSubmitted struct {
+		slotEvent
+		From     identifier.HostID     `msgpack:"o"`
+		Attempt  identifier.AttemptID  `msgpack:"a"`
+		Server   identifier.ServerID   `msgpack:"s"`
+		Customer identifier.CustomerID `msgpack:"c"`
+		Work     identifier.WorkKind   `msgpack:"w"`
+		Rank     identifier.Rank       `msgpack:"k"`
+		// Remaining is the time left to the deadline when the event was sent, in microseconds.
+		Remaining   identifier.Micros      `msgpack:"m"`
+		Snapshot    identifier.Snapshot    `msgpack:"n"`
+		Range       identifier.HashRange   `msgpack:"r"`
+		Repeatable  bool                   `msgpack:"p"`
+		Fingerprint identifier.Fingerprint `msgpack:"f"`
+		Body        []byte                 `msgpack:"b"`
+	}
+	// AttemptCancelled withdraws an attempt whose result is no longer needed.
+	AttemptCancelled struct {
+		slotEvent
+		Attempt identifier.AttemptID `msgpack:"a"`
+		Server  identifier.ServerID  `msgpack:"s"`
+	}
+	// CallServed reports that a backend server answered a call.
+	CallServed struct {
+		slotEvent
+		Attempt  identifier.AttemptID
+		Server   identifier.ServerID
+		Snapshot identifier.Snapshot
+		Range    identifier.HashRange
+		Body     []byte
+	}
+	// CallRefused reports that a backend server did not run a call.
+	CallRefused struct {
+		slotEvent
+		Attempt identifier.AttemptID
+		Server  identifier.ServerID
+		Reason  RefusalReason
+	}
+	// CallLost reports that a call's connection ended without an answer; the call may have run.
+	CallLost struct {
+		slotEvent
+		Attempt identifier.AttemptID
+		Server  identifier.ServerID
+	}
+)
+
+// Key returns the server that the attempt runs on.
+func (e AttemptSubmitted) Key() identifier.ServerID { return e.Server }
+
+// Key returns the server that the attempt runs on.
+func (e AttemptCancelled) Key() identifier.ServerID { return e.Server }
+
+// Key returns the server that was called.
+func (e CallServed) Key() identifier.ServerID { return e.Server }
+
+// Key returns the server that was called.
+func (e CallRefused) Key() identifier.ServerID { return e.Server }
+
+// Key returns the server that was called.
+func (e CallLost) Key() identifier.ServerID { return e.Server }
+
+// Undeliverable returns the event that follows when an event could not be sent
+// to another host, if one does.
+func Undeliverable(event Event) (Event, bool) {
+	switch e := event.(type) {
+	case AttemptSubmitted:
+		return AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: RefusedUnreachable}, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/pkg/reducer/membership.go
@@ -0,0 +1,165 @@
+package reducer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/router"
+)
+
+// Spans of membership.
+const (
+	// LeaseTerm is how long a backend server keeps its lease after an announcement.
+	LeaseTerm = 1800 * identifier.Millisecond
+	// HeartbeatInterval separates the heartbeats of an entry host.
+	HeartbeatInterval = 200 * identifier.Millisecond
+	// HostTimeout is the silence after which an entry host counts as gone.
+	HostTimeout = 1000 * identifier.Millisecond
+	// ExpiryInterval separates the searches for lapsed leases and silent hosts.
+	ExpiryInterval = 50 * identifier.Millisecond
+)
+
+// control is the part of a state that only the control goroutine uses.
+type control struct {
+	leases   *leaser.Leaser
+	heard    map[identifier.HostID]hostLease
+	leaving  bool
+	version  identifier.Version
+	policies map[identifier.CustomerID]*configurer.Policy
+	self     router.Host
+}
+
+type hostLease struct {
+	host    router.Host
+	expires identifier.Instant
+}
+
+func newControl() control {
+	return control{
+		leases:   leaser.New(LeaseTerm),
+		heard:    map[identifier.HostID]hostLease{},
+		policies: map[identifier.CustomerID]*configurer.Policy{},
+	}
+}
+
+// liveHosts returns this host, unless it leaves, and the hosts heard of late, in order of id.
+func (c *control) liveHosts() []router.Host {
+	var hosts []router.Host
+	if !c.leaving {
+		hosts = append(hosts, c.self)
+	}
+	for _, h := range c.heard {
+		hosts = append(hosts, h.host)
+	}
+	slices.SortFunc(hosts, func(a, b router.Host) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return hosts
+}
+
+// startHost begins heartbeats and the search for lapsed leases.
+func (s *State) startHost() {
+	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
+	s.sendHeartbeats()
+	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+}
+
+func (s *State) reduceMembership(event MembershipEvent) {
+	switch e := event.(type) {
+	case HostStarted:
+		s.startHost()
+	case HostLeaving:
+		s.leave()
+	case ServerAnnounced:
+		s.reduceAnnounced(e)
+	case ServerRelayed:
+		s.hearServer(s.now.Add(-e.Age), e.Announcement)
+	case HostHeard:
+		s.hearHost(e)
+	}
+}
+
+// reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
+func (s *State) reduceAnnounced(e ServerAnnounced) {
+	s.hearServer(s.now, e.Announcement)
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement})
+	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
+	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
+}
+
+func (s *State) hearServer(at identifier.Instant, a leaser.Announcement) {
+	if !s.control.leases.Hear(at, a) {
+		return
+	}
+	s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
+	s.publish()
+}
+
+func (s *State) hearHost(e HostHeard) {
+	_, known := s.control.heard[e.Host]
+	if e.Leaving {
+		delete(s.control.heard, e.Host)
+		if known {
+			s.publish()
+		}
+		return
+	}
+	s.control.heard[e.Host] = hostLease{
+		host:    router.Host{ID: e.Host, Domain: e.Domain},
+		expires: s.now.Add(HostTimeout),
+	}
+	if !known {
+		s.log(MembershipSubsystem, Info, "entry host is live", Field{"host", string(e.Host)})
+		s.publish()
+	}
+}
+
+func (s *State) sendHeartbeats() {
+	s.tellHosts(HostHeard{
+		Host:    s.parameters.Host,
+		Domain:  s.parameters.Domain,
+		Leaving: s.control.leaving,
+	})
+	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
+}
+
+// tellHosts sends an event to every other entry host.
+func (s *State) tellHosts(e Event) {
+	for _, p := range s.parameters.Peers {
+		s.emit(Send{To: p.ID, Event: e})
+	}
+}
+
+// expireMembers drops lapsed leases and silent hosts.
+func (s *State) expireMembers() {
+	changed := false
+	for _, id := range s.control.leases.Expire(s.now) {
+		changed = true
+		s.log(MembershipSubsystem, Warn, "lease of backend server lapsed", Field{"server", string(id)})
+	}
+	for id, h := range s.control.heard {
+		if h.expires <= s.now {
+			delete(s.control.heard, id)
+			changed = true
+			s.log(MembershipSubsystem, Warn, "entry host is silent", Field{"host", string(id)})
+		}
+	}
+	if changed {
+		s.publish()
+	}
+	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+}
+
+// leave tells the other hosts to take over this host's servers.
+func (s *State) leave() {
+	s.control.leaving = true
+	s.sendHeartbeats()
+	s.publish()
+}
+
+func (s *State) publish() {
+	s.emit(PublishView{View: newView(&s.control)})
+}
--- /dev/null
+++ b/pkg/reducer/reducer.go
@@ -0,0 +1,101 @@
+package reducer
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/router"
+)
+
+// Parameters are what a state knows from the settings of its host.
+type Parameters struct {
+	Host   identifier.HostID
+	Domain identifier.DomainID
+	// Peers are the other entry hosts.
+	Peers []router.Host
+}
+
+// State is the state of one partition of an entry host: control or traffic. It
+// is not safe for concurrent use; one goroutine reduces it.
+type State struct {
+	parameters Parameters
+	now        identifier.Instant
+	random     *rand.Rand
+	effects    []Effect
+	timers     timers
+	order      uint64
+	wake       identifier.Instant
+
+	control control
+	traffic traffic
+}
+
+// New returns a state that has seen no event.
+func New(p Parameters) *State {
+	return &State{
+		parameters: p,
+		random:     rand.New(rand.NewPCG(0, 0)),
+		wake:       identifier.Never,
+		control:    newControl(),
+		traffic:    newTraffic(),
+	}
+}
+
+// Reduce applies an event that happened at the instant and returns the effects
+// that follow, in order. The slice is valid until the next call.
+func (s *State) Reduce(at identifier.Instant, event Event) []Effect {
+	s.now = max(s.now, at)
+	s.effects = s.effects[:0]
+	switch e := event.(type) {
+	case ProcessEvent:
+		s.reduceProcess(e)
+	case MembershipEvent:
+		s.reduceMembership(e)
+	case ConfigurationEvent:
+		s.reduceConfiguration(e)
+	case QueryEvent:
+		s.reduceQuery(e)
+	case SlotEvent:
+		s.reduceSlot(e)
+	default:
+		panic(fmt.Sprintf("reducer: event of unknown family %T", event))
+	}
+	s.arm()
+	return s.effects
+}
+
+func (s *State) reduceProcess(event ProcessEvent) {
+	switch e := event.(type) {
+	case Started:
+		s.random = rand.New(rand.NewPCG(e.Seed, 0))
+	case Woken:
+		s.wake = identifier.Never
+		s.fire()
+	case ViewPublished:
+		s.adoptView(e.View)
+	case PeerDisconnected:
+		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
+	}
+}
+
+func (s *State) reduceTimer(t timer) {
+	switch t := t.(type) {
+	case heartbeatDue:
+		s.sendHeartbeats()
+	case expiryDue:
+		s.expireMembers()
+	case queryDue:
+		s.endQueryAtDeadline(t.request)
+	case jobDue:
+		s.expireJob(t.server, t.attempt)
+	}
+}
+
+func (s *State) emit(e Effect) {
+	s.effects = append(s.effects, e)
+}
+
+func (s *State) log(subsystem Subsystem, level LogLevel, message string, fields ...Field) {
+	s.emit(Log{Subsystem: subsystem, Level: level, Message: message, Fields: fields})
+}
--- /dev/null
+++ b/pkg/reducer/timer.go
@@ -0,0 +1,87 @@
+package reducer
+
+import (
+	"container/heap"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// timer is something that falls due at an instant. It is sealed; a timer whose
+// object is gone by then does nothing.
+type timer interface{ isTimer() }
+
+type (
+	// heartbeatDue asks control to send heartbeats.
+	heartbeatDue struct{}
+	// expiryDue asks control to look for lapsed leases and silent hosts.
+	expiryDue struct{}
+	// queryDue ends a query at its deadline.
+	queryDue struct{ request identifier.RequestID }
+	// jobDue drops a queued attempt at its deadline.
+	jobDue struct {
+		server  identifier.ServerID
+		attempt identifier.AttemptID
+	}
+)
+
+func (heartbeatDue) isTimer() {}
+func (expiryDue) isTimer()    {}
+func (queryDue) isTimer()     {}
+func (jobDue) isTimer()       {}
+
+type scheduled struct {
+	at    identifier.Instant
+	order uint64
+	timer timer
+}
+
+// timers is a heap of scheduled timers; equal instants keep their order of scheduling.
+type timers []scheduled
+
+func (t timers) Len() int { return len(t) }
+
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	return t[i].order < t[j].order
+}
+
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+func (t *timers) Push(x any) { *t = append(*t, x.(scheduled)) }
+
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = scheduled{}
+	*t = old[:len(old)-1]
+	return last
+}
+
+// schedule makes the timer fall due at the instant.
+func (s *State) schedule(at identifier.Instant, t timer) {
+	s.order++
+	heap.Push(&s.timers, scheduled{at: at, order: s.order, timer: t})
+}
+
+// fire handles every timer that has fallen due.
+func (s *State) fire() {
+	for len(s.timers) > 0 && s.timers[0].at <= s.now {
+		due := heap.Pop(&s.timers).(scheduled)
+		s.reduceTimer(due.timer)
+	}
+}
+
+// arm asks for a wake-up at the earliest timer, unless one is already due then.
+func (s *State) arm() {
+	next := identifier.Never
+	if len(s.timers) > 0 {
+		next = s.timers[0].at
+	}
+	if next == s.wake || next == identifier.Never {
+		return
+	}
+	s.wake = next
+	s.emit(Wake{At: next})
+}
--- /dev/null
+++ b/pkg/reducer/view.go
@@ -0,0 +1,42 @@
+package reducer
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/router"
+)
+
+// View is what control knows, for the traffic states to read. It is immutable
+// once published.
+type View struct {
+	// Configuration is the version in force on this host; 0 is none.
+	Configuration identifier.Version
+	Policies      map[identifier.CustomerID]*configurer.Policy
+	Servers       map[identifier.ServerID]*Server
+	ByService     map[identifier.ServiceID][]leaser.Announcement
+	Hosts         []router.Host
+}
+
+// Server is a backend server with a lease, and the entry host that owns it.
+type Server struct {
+	leaser.Announcement
+	Owner identifier.HostID
+}
+
+// newView joins the leases, the live hosts and the policies.
+func newView(c *control) *View {
+	v := &View{
+		Configuration: c.version,
+		Policies:      c.policies,
+		Servers:       map[identifier.ServerID]*Server{},
+		ByService:     map[identifier.ServiceID][]leaser.Announcement{},
+		Hosts:         c.liveHosts(),
+	}
+	for _, a := range c.leases.Announcements() {
+		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
+		v.Servers[a.Server] = &Server{Announcement: a, Owner: owner}
+		v.ByService[a.Service] = append(v.ByService[a.Service], a)
+	}
+	return v
+}
