pkg/reducer: check invariants inside the program

Change: require panics in strict mode and counts and logs otherwise; the first invariant bounds calls by slots.

--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -42,6 +42,10 @@
 	IndexVersion uint64
 	// Version numbers a configuration; it only rises.
 	Version uint64
+	// LogIndex numbers an entry of the replicated log, from 1.
+	LogIndex uint64
+	// Term numbers a leadership of the replicated log.
+	Term uint64
 	// Fingerprint is a 64-bit hash of a request's customer, work and body.
 	Fingerprint uint64
 	// Slots counts requests that a backend server runs at once.
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -185,4 +185,7 @@
 	AttemptsCounter       Counter = "attempts"
 	RetriesCounter        Counter = "retries"
 	MismatchedPartCounter Counter = "mismatched-parts"
+
+	// BrokenInvariantsCounter counts invariants found broken; it must stay 0.
+	BrokenInvariantsCounter Counter = "broken-invariants"
 )
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -14,6 +14,8 @@
 	Domain identifier.DomainID
 	// Peers are the other entry hosts.
 	Peers []router.Host
+	// Strict makes a broken invariant panic; tests set it.
+	Strict bool
 }
 
 // State is the state of one partition of an entry host: control or traffic. It
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -29,7 +29,7 @@
 	lowerHalf = identifier.HashRange{From: 0, To: identifier.HashSpace / 2}
 	upperHalf = identifier.HashRange{From: identifier.HashSpace / 2, To: identifier.HashSpace}
 	snapshot  = identifier.Snapshot{Epoch: 1, Version: 7}
-	hostOne   = reducer.Parameters{Host: "h-1", Domain: "fd-1"}
+	hostOne   = reducer.Parameters{Host: "h-1", Domain: "fd-1", Strict: true}
 )
 
 func announced(server identifier.ServerID, service identifier.ServiceID, held identifier.HashRange, versions ...identifier.IndexVersion) input {
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -7,6 +7,9 @@
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 )
 
+// SlotsInvariant says that an owner never has more calls in flight on a server than its slots.
+const SlotsInvariant Invariant = "calls-within-slots"
+
 // slots is the owner's account of one backend server.
 type slots struct {
 	queues [identifier.RankCount][]*job
@@ -63,6 +66,7 @@
 			return
 		}
 		account.flying[j.Attempt] = j
+		s.require(len(account.flying) <= int(server.Slots), SlotsInvariant, string(server.Server))
 		s.emit(Call{
 			Server:      j.Server,
 			Address:     server.Address,
