pkg/reducer: change, read and spread the configuration, and ask the ledger first

Cause: the configuration was a static file on each host, and a request that isn't repeatable was always refused. Ruled out: the leader sending each change to all hosts (its traffic grows with the deployment; each control host now serves its share and the rest pull); promising a change before it is applied (the answer leaves with the applied command). Change: operations that any host forwards to the leader and tries again until they are answered; revisions pushed and pulled, versions that only rise, a startup that waits for the highest version in reach; the ledger's intent before dispatch, its outcome after, its return when nothing ran. Variants of sealed interfaces travel as msgpack extensions and are recorded by name. A caller's disconnect no longer cancels what isn't repeatable, so that its outcome is stored.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -29,6 +29,12 @@
 	reducer.AttemptServed{},
 	reducer.AttemptRefused{},
 	reducer.AttemptLost{},
+	reducer.ConfigurationWanted{},
+	reducer.RevisionsSent{},
+	reducer.ContentsSent{},
+	reducer.OperationForwarded{},
+	reducer.OperationRedirected{},
+	reducer.OperationAnswered{},
 }
 
 var tags = indexTags()
--- /dev/null
+++ b/internal/encoder/variant_test.go
@@ -0,0 +1,84 @@
+package encoder_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/encoder"
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+	"github.com/lagooncleat/lagooncleat/pkg/registrar"
+)
+
+func TestEncoder(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "encoder")
+}
+
+var (
+	putTemplate = registrar.TemplatePut{Template: configurer.Template{
+		ID: "t", Works: []configurer.Work{{Kind: "w", Rank: "urgent"}},
+		Ranks: []configurer.RankParameters{{Rank: "urgent", TimeoutMillis: 5, MinCoverage: 0.5}},
+	}}
+	putCustomer = registrar.CustomerPut{Customer: configurer.Customer{
+		ID: "c", Template: "t", Budgets: &configurer.Budgets{Hedge: 0.1},
+		Partition: configurer.EvenPartition(1, []identifier.ServiceID{"s"}),
+	}}
+	intent = deduplicator.Intent{
+		Key: deduplicator.Key{Customer: "c", Key: "k"}, Request: "r", IssuedAt: 5, Fingerprint: 1 << 63, At: 6,
+	}
+	answered = reducer.Answered{Configuration: 2, Coverage: 0.5, Parts: []reducer.Part{{Service: "s", Body: []byte("{}")}}}
+)
+
+func proposal(c reducer.Command) reducer.Event {
+	return reducer.OperationForwarded{From: "h", Number: 1 << 63, Operation: reducer.Proposal{Command: c}}
+}
+
+func answer(a reducer.Answer) reducer.Event {
+	return reducer.OperationAnswered{From: "h", Number: 7, Answer: a}
+}
+
+var travelling = []struct {
+	name  string
+	event reducer.Event
+}{
+	{"a command without fields", proposal(reducer.NoCommand{})},
+	{"an import", proposal(reducer.ConfigurationImported{At: 3, Import: registrar.Import{Version: 1, Templates: []configurer.Template{putTemplate.Template}}})},
+	{"a change", proposal(reducer.ObjectChanged{Change: registrar.Change{ID: "i", Replaces: 4, At: 5, Edit: putCustomer}})},
+	{"an intent", proposal(reducer.IntentRecorded{Intent: intent})},
+	{"an abandoned intent", proposal(reducer.IntentAbandoned{Intent: intent})},
+	{"an outcome", proposal(reducer.OutcomeRecorded{Intent: intent, Outcome: answered})},
+	{"a read", reducer.OperationForwarded{Operation: reducer.ObjectsRead{Name: putCustomer.Target(), History: true}}},
+	{"an accepted change", answer(reducer.ChangeDecided{Result: registrar.Accepted{Target: putTemplate.Target(), Version: 9}})},
+	{"a conflict with an unknown object", answer(reducer.ChangeDecided{Result: registrar.Conflict{Target: putTemplate.Target()}})},
+	{"a conflict with a deletion", answer(reducer.ChangeDecided{Result: registrar.Conflict{
+		Target: putTemplate.Target(), Current: registrar.Revision{Version: 2, Edit: registrar.TemplateDeleted{Template: "t"}},
+	}})},
+	{"objects", answer(reducer.ObjectsFound{Version: 2, Revisions: []registrar.Revision{{Version: 2, Edit: putTemplate}, {Version: 1, Edit: putCustomer}}})},
+	{"a granted intent", answer(reducer.IntentDecided{Decision: deduplicator.Granted{}})},
+	{"a settled intent", answer(reducer.IntentDecided{Decision: deduplicator.Settled{}, Outcome: reducer.Failed{Kind: "k", Ran: "yes"}})},
+	{"a committed command", answer(reducer.Committed{})},
+	{"a redirect", reducer.OperationRedirected{Number: 7, Leader: "h"}},
+	{"contents", reducer.ContentsSent{Host: "h", InTouch: true, Contents: registrar.Contents{Version: 2, Revisions: []registrar.Revision{{Version: 2, Edit: putCustomer}}}}},
+	{"revisions", reducer.RevisionsSent{Host: "h", Version: 3, Revisions: []registrar.Revision{{Version: 3, Edit: registrar.CustomerDeleted{Customer: "c"}}}}},
+}
+
+var _ = ginkgo.Describe("events with variants", func() {
+	for _, c := range travelling {
+		ginkgo.It("travel: "+c.name, func() {
+			data, err := encoder.Encode(c.event)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			event, err := encoder.Decode(data)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(event).To(gomega.Equal(c.event))
+			for cut := range len(data) {
+				_, err := encoder.Decode(data[:cut])
+				gomega.Expect(err).To(gomega.HaveOccurred(), "cut at %d", cut)
+			}
+		})
+	}
+})
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -31,6 +31,8 @@
 		h.call(e)
 	case reducer.CancelCall:
 		h.cancelCall(e.Attempt)
+	case reducer.ReplyOperator:
+		h.replyOperator(e)
 	case reducer.Reply:
 		if c := h.takeQuery(e.Request); c != nil {
 			c <- e.Outcome
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -85,6 +85,8 @@
 	queries map[identifier.RequestID]chan reducer.Outcome
 	leases  map[reducer.Ticket]chan Lease
 	calls   map[identifier.AttemptID]context.CancelFunc
+	// operators holds the operators who wait for an answer.
+	operators map[reducer.Ticket]chan reducer.ReplyOperator
 }
 
 // New returns a Host that has not started.
@@ -99,6 +101,7 @@
 		queries:      map[identifier.RequestID]chan reducer.Outcome{},
 		leases:       map[reducer.Ticket]chan Lease{},
 		calls:        map[identifier.AttemptID]context.CancelFunc{},
+		operators:    map[reducer.Ticket]chan reducer.ReplyOperator{},
 	}
 	h.view.Store(&reducer.View{})
 	h.control = newLoop(h)
--- a/pkg/deduplicator/deduplicator.go
+++ b/pkg/deduplicator/deduplicator.go
@@ -18,7 +18,7 @@
 //	case deduplicator.Granted:
 //		...
 //		l.Settle(intent, outcome)
-//	case deduplicator.Settled[Outcome]:
+//	case deduplicator.Settled:
 //		...
 //	}
 package deduplicator
@@ -57,8 +57,8 @@
 type (
 	// Granted says that this request, and no other of its key, may run.
 	Granted struct{}
-	// Settled says that the request ran before, with this outcome.
-	Settled[O any] struct{ Outcome O }
+	// Settled says that the request ran before; Ledger.Outcome returns how it ended.
+	Settled struct{}
 	// Unsettled says that another send of the request may have run.
 	Unsettled struct{}
 	// Withdrawn says that this very request abandoned its intent.
@@ -74,7 +74,7 @@
 )
 
 func (Granted) isDecision()    {}
-func (Settled[O]) isDecision() {}
+func (Settled) isDecision()    {}
 func (Unsettled) isDecision()  {}
 func (Withdrawn) isDecision()  {}
 func (Expired) isDecision()    {}
@@ -161,13 +161,23 @@
 	case e.Intent.Fingerprint != i.Fingerprint || e.Intent.IssuedAt != i.IssuedAt:
 		return Mismatched{}
 	case e.Stage == Done:
-		return Settled[O]{Outcome: e.Outcome}
+		return Settled{}
 	case e.Intent.Request == i.Request:
 		return Granted{}
 	}
 	return Unsettled{}
 }
 
+// Outcome returns the stored outcome of a key, if there is one.
+func (l *Ledger[O]) Outcome(k Key) (O, bool) {
+	e, ok := l.entries[k]
+	if !ok || e.Stage != Done {
+		var none O
+		return none, false
+	}
+	return e.Outcome, true
+}
+
 // Settle stores the outcome of a request that was granted.
 func (l *Ledger[O]) Settle(i Intent, outcome O) {
 	l.advance(i.At)
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -33,6 +33,15 @@
 	reducer.CallServed{},
 	reducer.CallRefused{},
 	reducer.CallLost{},
+	reducer.ChangeRequested{},
+	reducer.ObjectsRequested{},
+	reducer.ConfigurationWanted{},
+	reducer.RevisionsSent{},
+	reducer.ContentsSent{},
+	reducer.OperationForwarded{},
+	reducer.OperationRedirected{},
+	reducer.OperationAnswered{},
+	reducer.IntentAnswered{},
 }
 
 // FormatError reports a session file that can't be read.
@@ -195,6 +204,8 @@
 		return decodeValue(node, v.Elem())
 	case reflect.Slice:
 		return decodeSlice(node, v)
+	case reflect.Interface:
+		return decodeVariant(node, v)
 	}
 	if err := node.Decode(v.Addr().Interface()); err != nil {
 		return &FormatError{node.Line, err.Error()}
--- /dev/null
+++ b/pkg/recorder/variant.go
@@ -0,0 +1,30 @@
+package recorder
+
+import (
+	"fmt"
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// decodeVariant reads a mapping from the name of a type to its fields.
+func decodeVariant(node *yaml.Node, v reflect.Value) error {
+	if node.Kind != yaml.MappingNode || len(node.Content) != 2 {
+		return &FormatError{node.Line, "a variant is a mapping from its name to its fields"}
+	}
+	for _, candidate := range reducer.Variants() {
+		t := reflect.TypeOf(candidate)
+		if kebab(t.Name()) != node.Content[0].Value || !t.Implements(v.Type()) {
+			continue
+		}
+		target := reflect.New(t).Elem()
+		if err := decodeValue(node.Content[1], target); err != nil {
+			return err
+		}
+		v.Set(target)
+		return nil
+	}
+	return &FormatError{node.Line, fmt.Sprintf("variant %q of %s is unknown", node.Content[0].Value, v.Type())}
+}
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -1,6 +1,12 @@
 package reducer
 
-import "github.com/lagooncleat/lagooncleat/pkg/identifier"
+import (
+	"fmt"
+
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/registrar"
+)
 
 // Command is an entry of the replicated log. It is sealed: the types of this
 // package are all there are. Every control host applies the same commands in the
@@ -11,41 +17,156 @@
 
 func (command) isCommand() {}
 
-// NoCommand is the entry that a new leader commits first; it changes nothing.
-type NoCommand struct{ command }
+// Commands of the replicated log. Applying one twice has no further effect.
+type (
+	// NoCommand is the entry that a new leader commits first; it changes nothing.
+	NoCommand struct{ command }
+	// ConfigurationImported fills an empty registry with the first templates and customers.
+	ConfigurationImported struct {
+		command
+		At     identifier.Instant `msgpack:"a"`
+		Import registrar.Import   `msgpack:"i"`
+	}
+	// ObjectChanged is an operator's change of a template or customer.
+	ObjectChanged struct {
+		command
+		Change registrar.Change `msgpack:"c"`
+	}
+	// IntentRecorded says that a request that is not repeatable is about to run.
+	IntentRecorded struct {
+		command
+		Intent deduplicator.Intent `msgpack:"i"`
+	}
+	// IntentAbandoned says that such a request did not run and never will.
+	IntentAbandoned struct {
+		command
+		Intent deduplicator.Intent `msgpack:"i"`
+	}
+	// OutcomeRecorded stores how such a request ended.
+	OutcomeRecorded struct {
+		command
+		Intent  deduplicator.Intent `msgpack:"i"`
+		Outcome Outcome             `msgpack:"o"`
+	}
+)
 
 // ControlSnapshot is the replicated control state after all commands up to an
 // index. It shares no memory that a later command changes.
-type ControlSnapshot struct{}
+type ControlSnapshot struct {
+	Registry registrar.Snapshot             `msgpack:"r"`
+	Ledger   deduplicator.Snapshot[Outcome] `msgpack:"l"`
+}
+
+// replicated is the state that every control host keeps by applying commands.
+type replicated struct {
+	registry *registrar.Registry
+	ledger   *deduplicator.Ledger[Outcome]
+}
+
+func newReplicated() replicated {
+	return replicated{registry: registrar.New(), ledger: deduplicator.New[Outcome](ledgerLimits)}
+}
+
+// stamp sets the instant at which the leader proposes a command.
+func stamp(c Command, at identifier.Instant) Command {
+	switch c := c.(type) {
+	case ConfigurationImported:
+		c.At = at
+		return c
+	case ObjectChanged:
+		c.Change.At = at
+		return c
+	case IntentRecorded:
+		c.Intent.At = at
+		return c
+	case IntentAbandoned:
+		c.Intent.At = at
+		return c
+	case OutcomeRecorded:
+		c.Intent.At = at
+		return c
+	}
+	return c
+}
 
 // apply carries out a committed command on the replicated control state. It is
 // called once for each index of this process's life, in order, on every control
 // host; a command that waits for a reply is answered here by the host that
 // proposed it.
-func (s *State) apply(_ identifier.LogIndex, c Command) {
-	switch c.(type) {
+func (s *State) apply(index identifier.LogIndex, c Command) {
+	s.answerProposal(index, s.applyCommand(c))
+}
+
+// applyCommand changes the replicated state and returns the answer to who proposed the command.
+func (s *State) applyCommand(c Command) Answer {
+	ledger := s.control.replicated.ledger
+	switch c := c.(type) {
 	case NoCommand:
+		return Committed{}
+	case ConfigurationImported:
+		s.applyImport(c)
+		return Committed{}
+	case ObjectChanged:
+		return ChangeDecided{Result: s.applyChange(c.Change)}
+	case IntentRecorded:
+		decision := ledger.Record(c.Intent)
+		outcome, _ := ledger.Outcome(c.Intent.Key)
+		return IntentDecided{Decision: decision, Outcome: outcome}
+	case IntentAbandoned:
+		ledger.Abandon(c.Intent)
+		return Committed{}
+	case OutcomeRecorded:
+		ledger.Settle(c.Intent, c.Outcome)
+		return Committed{}
 	}
+	panic(fmt.Sprintf("reducer: unknown command %T", c))
 }
 
 // snapshotState returns the replicated control state after the last applied command.
 func (s *State) snapshotState() ControlSnapshot {
-	return ControlSnapshot{}
+	return ControlSnapshot{
+		Registry: s.control.replicated.registry.Snapshot(),
+		Ledger:   s.control.replicated.ledger.Snapshot(),
+	}
 }
 
 // restoreState replaces the replicated control state by a later one, from this
 // host's disk or from the leader.
-func (s *State) restoreState(ControlSnapshot) {}
+func (s *State) restoreState(c ControlSnapshot) {
+	s.control.replicated = replicated{
+		registry: registrar.Restore(c.Registry),
+		ledger:   deduplicator.Restore(ledgerLimits, c.Ledger),
+	}
+	s.adoptRegistry()
+}
 
 // leadershipWon is called when this host leads the replicated log and has
 // applied all that earlier leaders committed.
-func (s *State) leadershipWon() {}
+func (s *State) leadershipWon() {
+	s.proposeImport()
+	s.publishControlStatus()
+}
 
 // leadershipLost is called when this host leads no longer. Whether commands that
 // it proposed and that apply has not seen will commit is unknown.
-func (s *State) leadershipLost() {}
+func (s *State) leadershipLost() {
+	s.dropWaiters()
+	s.publishControlStatus()
+}
 
 // readConfirmed answers confirmRead: the applied state reflects every command
 // that was committed when confirmRead was called, or, if not confirmed, this
 // host lost its quorum and knows nothing.
-func (s *State) readConfirmed(_ Ticket, _ bool) {}
+func (s *State) readConfirmed(t Ticket, confirmed bool) {
+	p, ok := s.control.operations.reads[t]
+	if !ok {
+		return
+	}
+	delete(s.control.operations.reads, t)
+	if !confirmed {
+		delete(s.control.operations.known, p.waiter)
+		s.redirect(p.waiter)
+		return
+	}
+	s.answer(p.waiter, readRegistry(s.control.replicated.registry, p.read))
+}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -7,6 +7,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -30,6 +31,19 @@
 	version  identifier.Version
 	policies map[identifier.CustomerID]*configurer.Policy
 	self     router.Host
+
+	// catalog is the newest configuration that this host holds; version and
+	// policies are those in force.
+	catalog *registrar.Catalog
+	// first is the content of the customers file, for an empty registry.
+	first      registrar.Import
+	replicated replicated
+	operations operations
+	startup    startup
+	pulls      int
+	// touched is when this host last heard a control host in touch with its quorum.
+	touched identifier.Instant
+	status  ControlStatus
 }
 
 type hostLease struct {
@@ -42,6 +56,10 @@
 		leases:   leaser.New(LeaseTerm),
 		heard:    map[identifier.HostID]hostLease{},
 		policies: map[identifier.CustomerID]*configurer.Policy{},
+
+		catalog:    registrar.NewCatalog(),
+		replicated: newReplicated(),
+		operations: newOperations(),
 	}
 }
 
@@ -65,6 +83,7 @@
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+	s.startSpread()
 }
 
 func (s *State) reduceMembership(event MembershipEvent) {
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/coverer"
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/planner"
@@ -18,6 +19,8 @@
 	slots   map[identifier.ServerID]*slots
 	// outstanding counts this state's own attempts in flight on each server.
 	outstanding map[identifier.ServerID]int
+	// running holds the dispatched requests that are not repeatable, by key.
+	running map[deduplicator.Key]identifier.RequestID
 }
 
 func newTraffic() traffic {
@@ -26,6 +29,7 @@
 		queries:     map[identifier.RequestID]*query{},
 		slots:       map[identifier.ServerID]*slots{},
 		outstanding: map[identifier.ServerID]int{},
+		running:     map[deduplicator.Key]identifier.RequestID{},
 	}
 }
 
@@ -45,7 +49,8 @@
 	// tries counts the attempts for each shard.
 	tries []int
 	// ran is set once an attempt may have run.
-	ran bool
+	ran       bool
+	recording recording
 }
 
 // attempt is one attempt to fetch the part of one shard.
@@ -59,6 +64,8 @@
 	switch e := event.(type) {
 	case QueryArrived:
 		s.admit(e)
+	case IntentAnswered:
+		s.receiveDecision(e)
 	case QueryAbandoned:
 		s.abandon(e.Request)
 	case AttemptServed:
@@ -94,7 +101,16 @@
 	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
-	for shard := range policy.Partition.Shards {
+	if !e.Repeatable {
+		s.recordIntent(q)
+		return
+	}
+	s.start(q)
+}
+
+// start sends the first attempt for every shard.
+func (s *State) start(q *query) {
+	for shard := range q.policy.Partition.Shards {
 		s.submit(q, shard, "")
 	}
 	s.finishIfSettled(q)
@@ -113,8 +129,8 @@
 	if !ok {
 		return nil, 0, &Failed{Kind: UnknownWork, Ran: RanNo, Message: "the customer has no such kind of work"}
 	}
-	if !e.Repeatable {
-		return nil, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need the ledger"}
+	if !e.Repeatable && len(s.parameters.ControlHosts) == 0 {
+		return nil, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need control hosts"}
 	}
 	return policy, rank, nil
 }
@@ -186,7 +202,7 @@
 	q.ran = true
 	if e.Snapshot != q.plan.Snapshot || e.Range != q.policy.Ranges[a.shard] {
 		s.count(MismatchedPartCounter, q.Customer, q.rank)
-		s.retry(q, a)
+		s.retry(q, a, true)
 		return
 	}
 	if q.coverage.Cover(a.shard) {
@@ -207,7 +223,7 @@
 		return
 	}
 	q.ran = q.ran || ran
-	s.retry(q, a)
+	s.retry(q, a, ran)
 }
 
 // loseAttempts ends the open attempts at the owners that have gone; they may have run.
@@ -222,9 +238,9 @@
 	}
 }
 
-// retry sends another attempt for the shard to another server.
-func (s *State) retry(q *query, a *attempt) {
-	if s.submit(q, a.shard, a.server) {
+// retry sends another attempt for the shard to another server, if it may.
+func (s *State) retry(q *query, a *attempt, ran bool) {
+	if mayRetry(q, ran) && s.submit(q, a.shard, a.server) {
 		s.count(RetriesCounter, q.Customer, q.rank)
 	}
 	s.finishIfSettled(q)
@@ -272,12 +288,12 @@
 	coverage := q.coverage.Ratio()
 	if coverage > 0 && coverage >= q.minCoverage {
 		s.count(AnswersCounter, q.Customer, q.rank)
-		s.emit(Reply{Request: q.Request, Outcome: Answered{
+		s.reply(q, Answered{
 			Configuration: q.configuration,
 			Snapshot:      q.plan.Snapshot,
 			Coverage:      coverage,
 			Parts:         q.parts,
-		}})
+		})
 		return
 	}
 	ran := RanNo
@@ -285,16 +301,23 @@
 		ran = RanMaybe
 	}
 	s.count(FailuresCounter, q.Customer, q.rank)
-	s.emit(Reply{Request: q.Request, Outcome: Failed{
+	s.reply(q, Failed{
 		Kind:     kind,
 		Ran:      ran,
 		Coverage: coverage,
 		Message:  "the answer is less complete than the customer requires",
-	}})
+	})
+}
+
+// reply answers the caller and tells the ledger.
+func (s *State) reply(q *query, o Outcome) {
+	s.emit(Reply{Request: q.Request, Outcome: o})
+	s.settle(q, o)
 }
 
 func (s *State) abandon(request identifier.RequestID) {
-	if q, ok := s.traffic.queries[request]; ok {
+	// What is not repeatable goes on, so that its outcome is stored.
+	if q, ok := s.traffic.queries[request]; ok && q.Repeatable {
 		s.drop(q)
 	}
 }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -14,6 +14,8 @@
 	Domain identifier.DomainID
 	// Peers are the other entry hosts.
 	Peers []router.Host
+	// ControlHosts are the entry hosts with disks, which keep the replicated log.
+	ControlHosts []identifier.HostID
 	// Strict makes a broken invariant panic; tests set it.
 	Strict bool
 }
@@ -56,6 +58,8 @@
 		s.reduceMembership(e)
 	case ConfigurationEvent:
 		s.reduceConfiguration(e)
+	case OperationEvent:
+		s.reduceOperation(e)
 	case QueryEvent:
 		s.reduceQuery(e)
 	case SlotEvent:
@@ -71,6 +75,7 @@
 	switch e := event.(type) {
 	case Started:
 		s.random = rand.New(rand.NewPCG(e.Seed, 0))
+		s.control.operations.number = OperationNumber(e.Seed)
 	case Woken:
 		s.wake = identifier.Never
 		s.fire()
@@ -87,6 +92,13 @@
 		s.sendHeartbeats()
 	case expiryDue:
 		s.expireMembers()
+	case startupDue:
+		s.enforce()
+		s.proposeImport()
+	case pullDue:
+		s.pull()
+	case operationDue:
+		s.tryOperation(t.number)
 	case queryDue:
 		s.endQueryAtDeadline(t.request)
 	case jobDue:
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -15,6 +15,12 @@
 	heartbeatDue struct{}
 	// expiryDue asks control to look for lapsed leases and silent hosts.
 	expiryDue struct{}
+	// startupDue ends a host's wait for the versions of the others.
+	startupDue struct{}
+	// pullDue asks control to ask for a newer configuration.
+	pullDue struct{}
+	// operationDue tries an operation again.
+	operationDue struct{ number OperationNumber }
 	// queryDue ends a query at its deadline.
 	queryDue struct{ request identifier.RequestID }
 	// jobDue drops a queued attempt at its deadline.
@@ -26,6 +32,9 @@
 
 func (heartbeatDue) isTimer() {}
 func (expiryDue) isTimer()    {}
+func (startupDue) isTimer()   {}
+func (pullDue) isTimer()      {}
+func (operationDue) isTimer() {}
 func (queryDue) isTimer()     {}
 func (jobDue) isTimer()       {}
 
--- /dev/null
+++ b/pkg/reducer/variant.go
@@ -0,0 +1,44 @@
+package reducer
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
+	"github.com/lagooncleat/lagooncleat/pkg/registrar"
+)
+
+// Variants returns a value of every type that stands in a field of a sealed
+// interface, in events, commands and snapshots. Encoders number the types by
+// their place, so new ones are added at the end and none is ever removed.
+func Variants() []any {
+	return []any{
+		registrar.TemplatePut{},
+		registrar.CustomerPut{},
+		registrar.TemplateDeleted{},
+		registrar.CustomerDeleted{},
+		registrar.Accepted{},
+		registrar.Conflict{},
+		registrar.Invalid{},
+		registrar.Reused{},
+		deduplicator.Granted{},
+		deduplicator.Settled{},
+		deduplicator.Unsettled{},
+		deduplicator.Withdrawn{},
+		deduplicator.Expired{},
+		deduplicator.Early{},
+		deduplicator.Mismatched{},
+		deduplicator.Full{},
+		Answered{},
+		Failed{},
+		NoCommand{},
+		ConfigurationImported{},
+		ObjectChanged{},
+		IntentRecorded{},
+		IntentAbandoned{},
+		OutcomeRecorded{},
+		Proposal{},
+		ObjectsRead{},
+		ChangeDecided{},
+		ObjectsFound{},
+		IntentDecided{},
+		Committed{},
+	}
+}
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -16,6 +16,8 @@
 	Servers       map[identifier.ServerID]*Server
 	ByService     map[identifier.ServiceID][]leaser.Announcement
 	Hosts         []router.Host
+	// Control is what this host knows of the replicated log.
+	Control ControlStatus
 }
 
 // Server is a backend server with a lease, and the entry host that owns it.
@@ -32,6 +34,7 @@
 		Servers:       map[identifier.ServerID]*Server{},
 		ByService:     map[identifier.ServiceID][]leaser.Announcement{},
 		Hosts:         c.liveHosts(),
+		Control:       c.status,
 	}
 	for _, a := range c.leases.Announcements() {
 		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
--- a/pkg/registrar/catalog.go
+++ b/pkg/registrar/catalog.go
@@ -199,6 +199,20 @@
 	return c.Load(contents)
 }
 
+// Export returns the templates and customers as a first set at this version.
+func (c *Catalog) Export() Import {
+	i := Import{Version: c.version}
+	for _, r := range c.Contents().Revisions {
+		switch e := r.Edit.(type) {
+		case TemplatePut:
+			i.Templates = append(i.Templates, e.Template)
+		case CustomerPut:
+			i.Customers = append(i.Customers, e.Customer)
+		}
+	}
+	return i
+}
+
 // Load replaces all objects by those of another Catalog. It leaves out customers
 // that break a rule and returns why.
 func (c *Catalog) Load(contents Contents) []error {
