internal/commander: change, show and roll back templates and customers

Cause: operators had no interface to the configuration. Ruled out: a random change id for each call of apply, since the operator would have to keep it for a resend; without one in the file, the id follows from the content. Change: PUT, DELETE, GET and history for templates and customers on the operators' listener, each reply with what its host knows of the replicated log; apply, get, history and rollback-plan with exit codes 0, 1, 2 and 3 (conflict). Rules that only the leader can check are reported with the file's line.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -1,7 +1,8 @@
 // Package commander holds the subcommands of the lagooncleat program.
 //
 // Each subcommand is a type that google/subcommands runs. Exit codes are those
-// of that library: 0 for success, 1 for failure, 2 for wrong usage.
+// of that library: 0 for success, 1 for failure, 2 for wrong usage, and 3 for a
+// change that another change has overtaken.
 //
 // # Usage
 //
@@ -31,6 +32,10 @@
 	c.Register(&serveCommand{streams: s}, "run")
 	c.Register(&demoCommand{streams: s}, "run")
 	c.Register(&checkCommand{streams: s}, "operate")
+	c.Register(&applyCommand{streams: s}, "operate")
+	c.Register(&getCommand{streams: s}, "operate")
+	c.Register(&historyCommand{streams: s}, "operate")
+	c.Register(&rollbackCommand{streams: s}, "operate")
 }
 
 // fail prints an error and returns the exit status of a failure.
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -161,8 +161,10 @@
 		return http.StatusRequestEntityTooLarge
 	case reducer.UnknownCustomer:
 		return http.StatusNotFound
-	case reducer.UnknownWork:
+	case reducer.UnknownWork, reducer.KeyMismatched, reducer.RequestEarly:
 		return http.StatusUnprocessableEntity
+	case reducer.RequestExpired:
+		return http.StatusGone
 	case reducer.TimedOut:
 		return http.StatusGatewayTimeout
 	}
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -23,13 +23,14 @@
 
 // NewOperators returns the handler of the operators' interface. The function
 // tells whether the host takes new callers.
-func NewOperators(host identifier.HostID, v Views, m *meter.Meter, ready func() bool) http.Handler {
+func NewOperators(host identifier.HostID, v Views, c Operations, m *meter.Meter, ready func() bool) http.Handler {
 	o := &operators{host: host, views: v, meter: m, ready: ready}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", o.metrics)
 	mux.HandleFunc("GET /live", o.live)
 	mux.HandleFunc("GET /ready", o.readiness)
 	mux.HandleFunc("GET /v1/status", o.status)
+	(&configuration{host: host, operations: c}).register(mux)
 	return mux
 }
 
@@ -77,7 +78,8 @@
 		Host          identifier.HostID   `json:"host"`
 		Ready         bool                `json:"ready"`
 		Configuration identifier.Version  `json:"configuration-version"`
+		Control       control             `json:"control"`
 		Hosts         []identifier.HostID `json:"hosts"`
 		Servers       []server            `json:"servers"`
-	}{o.host, o.ready(), v.Configuration, hosts, servers})
+	}{o.host, o.ready(), v.Configuration, controlOf(o.host, v.Control), hosts, servers})
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -109,7 +109,7 @@
 	})
 	r.serve(listener.NewCallers(r.host, counters), r.sockets[Callers])
 	r.serve(listener.NewBackends(r.host), r.sockets[BackendServers])
-	r.serve(listener.NewOperators(s.Host, r.host, counters, r.Ready), r.sockets[Operators])
+	r.serve(listener.NewOperators(s.Host, r.host, r.host, counters, r.Ready), r.sockets[Operators])
 	r.group.Go(func() {
 		if err := r.messenger.Serve(r.sockets[Peers]); err != nil {
 			r.logger.Error("peer listener failed", "error", err)
