--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,6 +38,7 @@
 // Counters counts what happens.
 type Counters interface {
 	Count(reducer.Count)
+	Observe(at identifier.Instant, o reducer.Observe)
 }
 
 // Loggers gives the logger of a subsystem.
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -11,6 +11,7 @@
 // Views gives the latest view of a host; the executor's Host does.
 type Views interface {
 	View() *reducer.View
+	Now() identifier.Instant
 }
 
 // operators is the interface for operators and for the platform's balancer.
@@ -30,6 +31,7 @@
 	mux.HandleFunc("GET /live", o.live)
 	mux.HandleFunc("GET /ready", o.readiness)
 	mux.HandleFunc("GET /v1/status", o.status)
+	mux.HandleFunc("GET /v1/burn", o.burn)
 	return mux
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -26,6 +26,7 @@
 	set      *metrics.Set
 	mutex    sync.RWMutex
 	counters map[reducer.Count]*metrics.Counter
+	burn     burn
 }
 
 // New returns a Meter without metrics.
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -35,6 +35,7 @@
 	policy        *configurer.Policy
 	configuration identifier.Version
 	rank          identifier.Rank
+	arrival       identifier.Instant
 	deadline      identifier.Instant
 	minCoverage   identifier.Ratio
 	plan          planner.Plan
@@ -76,6 +77,9 @@
 	policy, rank, failure := s.classify(e)
 	if failure != nil {
 		s.count(FailuresCounter, e.Customer, rank)
+		if policy != nil {
+			s.observe(e.Customer, rank, policy.Limits[rank], 0, *failure)
+		}
 		s.emit(Reply{Request: e.Request, Outcome: *failure})
 		return
 	}
@@ -85,6 +89,7 @@
 		policy:        policy,
 		configuration: s.traffic.view.Configuration,
 		rank:          rank,
+		arrival:       s.now,
 		deadline:      s.now.Add(min(e.Timeout, limits.Timeout)),
 		minCoverage:   max(e.MinCoverage, limits.MinCoverage),
 		plan:          planner.Pin(policy.Partition, s.announcements),
@@ -114,7 +119,7 @@
 		return nil, 0, &Failed{Kind: UnknownWork, Ran: RanNo, Message: "the customer has no such kind of work"}
 	}
 	if !e.Repeatable {
-		return nil, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need the ledger"}
+		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need the ledger"}
 	}
 	return policy, rank, nil
 }
@@ -269,28 +274,37 @@
 // finish ends a query: an answer when its coverage suffices, else a failure of the given kind.
 func (s *State) finish(q *query, kind FailureKind) {
 	s.drop(q)
+	outcome := q.outcome(kind)
+	counter := AnswersCounter
+	if _, failed := outcome.(Failed); failed {
+		counter = FailuresCounter
+	}
+	s.count(counter, q.Customer, q.rank)
+	s.observe(q.Customer, q.rank, q.policy.Limits[q.rank], s.now.Since(q.arrival), outcome)
+	s.emit(Reply{Request: q.Request, Outcome: outcome})
+}
+
+// outcome returns the answer when its coverage suffices, else a failure of the given kind.
+func (q *query) outcome(kind FailureKind) Outcome {
 	coverage := q.coverage.Ratio()
 	if coverage > 0 && coverage >= q.minCoverage {
-		s.count(AnswersCounter, q.Customer, q.rank)
-		s.emit(Reply{Request: q.Request, Outcome: Answered{
+		return Answered{
 			Configuration: q.configuration,
 			Snapshot:      q.plan.Snapshot,
 			Coverage:      coverage,
 			Parts:         q.parts,
-		}})
-		return
+		}
 	}
 	ran := RanNo
 	if q.ran {
 		ran = RanMaybe
 	}
-	s.count(FailuresCounter, q.Customer, q.rank)
-	s.emit(Reply{Request: q.Request, Outcome: Failed{
+	return Failed{
 		Kind:     kind,
 		Ran:      ran,
 		Coverage: coverage,
 		Message:  "the answer is less complete than the customer requires",
-	}})
+	}
 }
 
 func (s *State) abandon(request identifier.RequestID) {
