internal/reporter: report how fast error budgets burn

Change: report burn sums the hosts' histories over 5 min, 1 h and 6 h, as a table and as one page with plots. A silent host, counters that started anew and a window without queries are said in notes, never shown as zero. The page was not looked at in a browser: none is installed, and the project takes only libraries. Conclusion: the report stands; its page waits for a reader's eye.

--- /dev/null
+++ b/internal/commander/report.go
@@ -0,0 +1,111 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/internal/reporter"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// reportTimeout bounds the wait for all hosts' answers.
+const reportTimeout = 5 * time.Second
+
+// pageMode is the file mode of a written page.
+const pageMode = 0o644
+
+// reportCommand reports how fast error budgets burn.
+type reportCommand struct {
+	streams Streams
+	hosts   string
+	page    string
+}
+
+// Name returns the name of the subcommand.
+func (*reportCommand) Name() string { return "report" }
+
+// Synopsis returns one line about the subcommand.
+func (*reportCommand) Synopsis() string { return "report on service-level burn" }
+
+// Usage returns the help text.
+func (*reportCommand) Usage() string {
+	return `report burn --hosts ADDRESS[,ADDRESS...] [--html FILE]
+  Asks the operators' listeners of the entry hosts and prints, for each customer,
+  rank and window, how fast the error budget burns. What is not known is said in
+  notes. The exit code is 1 when no host answered.
+
+  Example: lagooncleat report burn --hosts 127.0.0.1:8003,127.0.0.1:8013 --html burn.html
+`
+}
+
+// SetFlags declares the flags.
+func (c *reportCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.hosts, "hosts", "", "the operators' listeners of the entry hosts, with commas between")
+	f.StringVar(&c.page, "html", "", "write the report with plots to this file")
+}
+
+// Execute runs the subcommand.
+func (c *reportCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 || f.Arg(0) != "burn" {
+		return usage(c.streams, c)
+	}
+	// The flags follow the kind of report.
+	if err := f.Parse(f.Args()[1:]); err != nil || c.hosts == "" || f.NArg() > 0 {
+		return usage(c.streams, c)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	answers := reporter.Fetch(ctx, http.DefaultClient, addresses(c.hosts))
+	report := reporter.Build(answers)
+	if err := report.WriteTable(c.streams.Output); err != nil {
+		return c.streams.fail(err)
+	}
+	if c.page != "" {
+		if err := writePage(c.page, report); err != nil {
+			return c.streams.fail(err)
+		}
+	}
+	for _, a := range answers {
+		if a.Err == nil {
+			return subcommands.ExitSuccess
+		}
+	}
+	return c.streams.fail(&NoAnswerError{Hosts: c.hosts})
+}
+
+// NoAnswerError reports that none of the hosts answered.
+type NoAnswerError struct {
+	Hosts string
+}
+
+// Error names the hosts and what to check.
+func (e *NoAnswerError) Error() string {
+	return fmt.Sprintf("none of the hosts %s answered; check that the addresses are those of listen.operators", e.Hosts)
+}
+
+func addresses(list string) []identifier.Address {
+	var all []identifier.Address
+	for _, text := range strings.Split(list, ",") {
+		all = append(all, identifier.Address(strings.TrimSpace(text)))
+	}
+	return all
+}
+
+func writePage(file string, r reporter.Report) error {
+	var buffer bytes.Buffer
+	if err := r.WriteHTML(&buffer); err != nil {
+		return err
+	}
+	if err := renameio.WriteFile(file, buffer.Bytes(), pageMode); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/reporter/page.go
@@ -0,0 +1,135 @@
+package reporter
+
+import (
+	"bytes"
+	_ "embed" // for the template of the page
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/lagooncleat/lagooncleat/pkg/budgeter"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 6 * vg.Centimeter
+)
+
+// chart is the burn of one line over time.
+type chart struct {
+	Title string
+	SVG   template.HTML
+}
+
+// WriteHTML writes the report as one page that needs nothing else.
+func (r Report) WriteHTML(w io.Writer) error {
+	page := struct {
+		Headings columns
+		Rows     []columns
+		Charts   []chart
+		Notes    []string
+	}{Headings: headings, Notes: r.Notes}
+	for _, row := range r.Rows {
+		page.Rows = append(page.Rows, row.columns())
+	}
+	for _, l := range r.Lines {
+		c, err := l.chart()
+		if err != nil {
+			return err
+		}
+		page.Charts = append(page.Charts, c)
+	}
+	if err := pageTemplate.Execute(w, page); err != nil {
+		return fmt.Errorf("reporter: write page: %w", err)
+	}
+	return nil
+}
+
+// chart plots the burn of each bucket that has queries; gaps stay gaps.
+func (l Line) chart() (chart, error) {
+	title := fmt.Sprintf("%s, %s", l.Series.Customer, l.Series.Rank)
+	p := plot.New()
+	p.X.Label.Text = "minutes before the report"
+	p.Y.Label.Text = "burn"
+	p.Y.Min = 0
+	points := l.burns()
+	p.Y.Max = max(2, highest(points)*1.1)
+	p.X.Max = 0
+	p.X.Min = -float64(Windows[len(Windows)-1]) / float64(identifier.Minute)
+	if len(points) > 0 {
+		p.X.Min = min(-5, points[0].X-1)
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return chart{}, fmt.Errorf("reporter: plot %s: %w", title, err)
+	}
+	scatter.Radius = vg.Points(2.5)
+	scatter.Color = color.RGBA{R: 0x1f, G: 0x5f, B: 0xa8, A: 0xff}
+	limit := plotter.NewFunction(func(float64) float64 { return 1 })
+	limit.Color = color.RGBA{R: 0xc0, G: 0x30, B: 0x30, A: 0xff}
+	limit.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	p.Add(plotter.NewGrid(), limit, scatter)
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var buffer bytes.Buffer
+	if _, err := canvas.WriteTo(&buffer); err != nil {
+		return chart{}, fmt.Errorf("reporter: plot %s: %w", title, err)
+	}
+	// The library made the SVG from numbers and fixed texts.
+	return chart{Title: title, SVG: template.HTML(withoutProlog(buffer.Bytes()))}, nil
+}
+
+func (l Line) burns() plotter.XYs {
+	var points plotter.XYs
+	for _, p := range l.merged() {
+		b, ok := budgeter.Burn(p.Tally.Bad(), p.Tally.Total, l.Objective.Share)
+		if ok {
+			points = append(points, plotter.XY{X: -float64(p.Age) / float64(identifier.Minute), Y: float64(b)})
+		}
+	}
+	return points
+}
+
+// merged joins the hosts' points whose ages round to the same bucket.
+func (l Line) merged() []Point {
+	var merged []Point
+	for _, p := range l.Points {
+		age := p.Age - p.Age%budgeter.BucketSpan
+		last := len(merged) - 1
+		if last < 0 || merged[last].Age != age {
+			merged = append(merged, Point{Age: age, Tally: p.Tally})
+			continue
+		}
+		merged[last].Tally = merged[last].Tally.Plus(p.Tally)
+	}
+	return merged
+}
+
+func highest(points plotter.XYs) float64 {
+	var top float64
+	for _, p := range points {
+		top = max(top, p.Y)
+	}
+	return top
+}
+
+// withoutProlog cuts what precedes the svg element, which a page may not contain.
+func withoutProlog(svg []byte) []byte {
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
+		return svg[i:]
+	}
+	return svg
+}
--- /dev/null
+++ b/pkg/budgeter/budgeter_test.go
@@ -0,0 +1,66 @@
+package budgeter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/budgeter"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+func TestBudgeter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "budgeter")
+}
+
+func ExampleBurn() {
+	b := budgeter.New(0)
+	desk := budgeter.Series{Customer: "desk", Rank: identifier.Urgent}
+	promise := budgeter.Objective{Target: 100 * identifier.Millisecond, Share: 0.5}
+	for _, v := range []budgeter.Verdict{budgeter.Good, budgeter.Late, budgeter.Good, budgeter.Good} {
+		b.Add(0, desk, promise, v)
+	}
+	t := b.Histories()[0].Sum(0, identifier.Instant(identifier.Minute))
+	burn, ok := budgeter.Burn(t.Bad(), t.Total, promise.Share)
+	fmt.Println(burn, ok)
+	// Output: 0.5 true
+}
+
+var _ = ginkgo.Describe("Burn", func() {
+	cases := []struct {
+		name       string
+		bad, total uint64
+		objective  identifier.Ratio
+		burn       identifier.Ratio
+		known      bool
+	}{
+		{"no query", 0, 0, 0.99, 0, false},
+		{"no budget", 1, 2, 1, 0, false},
+		{"all good", 0, 10, 0.9, 0, true},
+		{"as fast as allowed", 5, 10, 0.5, 1, true},
+		{"all bad", 10, 10, 0.75, 4, true},
+	}
+	for _, c := range cases {
+		ginkgo.It("is right with "+c.name, func() {
+			burn, known := budgeter.Burn(c.bad, c.total, c.objective)
+			gomega.Expect(known).To(gomega.Equal(c.known))
+			gomega.Expect(burn).To(gomega.Equal(c.burn))
+		})
+	}
+})
+
+var _ = ginkgo.Describe("Book", func() {
+	ginkgo.It("keeps no more buckets than its bound, the newest ones", func() {
+		b := budgeter.New(0)
+		for i := range budgeter.BucketCount + 10 {
+			at := identifier.Instant(i) * identifier.Instant(budgeter.BucketSpan)
+			b.Add(at, budgeter.Series{Customer: "desk"}, budgeter.Objective{}, budgeter.Good)
+		}
+		buckets := b.Histories()[0].Buckets
+		gomega.Expect(buckets).To(gomega.HaveLen(budgeter.BucketCount))
+		gomega.Expect(buckets[0].Start).To(gomega.Equal(10 * identifier.Instant(budgeter.BucketSpan)))
+	})
+})
