internal/messenger: send the sender's id at once

Cause: a new test of two messengers waited in vain for PeerDisconnected: the first frame stayed in the buffer until an event was sent, so a connection that ended before that told nobody. Ruled out: the reader's own end of connection, which was seen in the log. Change: the first frame is flushed. An unknown field in a file is now reported under its name. Conclusion: both sides learn of every connection that ends.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -135,7 +135,10 @@
 	return c, d.err()
 }
 
-var yamlLine = regexp.MustCompile(`line (\d+): (.*)`)
+var (
+	yamlLine     = regexp.MustCompile(`line (\d+): (.*)`)
+	unknownField = regexp.MustCompile(`^field (\S+) not found in type `)
+)
 
 // read decodes a file strictly into the target and keeps its nodes for line numbers.
 func read(file string, target any) (*document, error) {
@@ -148,8 +151,7 @@
 	decoder.KnownFields(true)
 	if err := decoder.Decode(target); err != nil {
 		for _, match := range yamlLine.FindAllStringSubmatch(err.Error(), -1) {
-			line, _ := strconv.Atoi(match[1])
-			d.faults = append(d.faults, Fault{File: file, Line: line, Field: "(syntax)", Reason: match[2]})
+			d.faults = append(d.faults, syntaxFault(file, match[1], match[2]))
 		}
 		if len(d.faults) == 0 {
 			d.faults = []Fault{{File: file, Line: 1, Field: "(syntax)", Reason: err.Error()}}
@@ -162,6 +164,16 @@
 	return d, nil
 }
 
+// syntaxFault turns the YAML library's complaint about a line into a fault.
+func syntaxFault(file, number, complaint string) Fault {
+	// The pattern admits digits only.
+	line, _ := strconv.Atoi(number)
+	if match := unknownField.FindStringSubmatch(complaint); match != nil {
+		return Fault{File: file, Line: line, Field: match[1], Reason: "is not a field that exists here"}
+	}
+	return Fault{File: file, Line: line, Field: "(syntax)", Reason: complaint}
+}
+
 func (d *document) err() error {
 	if len(d.faults) == 0 {
 		return nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -201,6 +201,9 @@
 	if err := writeFrame(w, []byte(m.host)); err != nil {
 		return err
 	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	for {
 		select {
 		case event := <-queue:
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,93 @@
+package messenger_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/lagooncleat/lagooncleat/internal/messenger"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+func TestMessenger(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "messenger")
+}
+
+// patience bounds each wait for an event; it is far above what a wait takes.
+const patience = 20 * time.Second
+
+// node is a messenger and what it delivered.
+type node struct {
+	*messenger.Messenger
+	delivered chan reducer.Event
+}
+
+func start(host identifier.HostID, l net.Listener, peers map[identifier.HostID]identifier.Address) *node {
+	n := &node{delivered: make(chan reducer.Event, 100)}
+	n.Messenger = messenger.New(messenger.Parameters{Host: host, Peers: peers},
+		func(e reducer.Event) { n.delivered <- e }, hclog.NewNullLogger())
+	go func() {
+		defer ginkgo.GinkgoRecover()
+		gomega.Expect(n.Serve(l)).To(gomega.Succeed())
+	}()
+	return n
+}
+
+func listen() (net.Listener, identifier.Address) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return l, identifier.Address(l.Addr().String())
+}
+
+var submitted = reducer.AttemptSubmitted{
+	From: "h-1", Attempt: identifier.AttemptID{Request: "q", Sequence: 4}, Server: "s-1", Body: []byte("body"),
+}
+
+var _ = ginkgo.Describe("a messenger", func() {
+	ginkgo.It("delivers events in order and tells both sides when a connection ends", func() {
+		firstSocket, firstAddress := listen()
+		secondSocket, secondAddress := listen()
+		first := start("h-1", firstSocket, map[identifier.HostID]identifier.Address{"h-2": secondAddress})
+		second := start("h-2", secondSocket, map[identifier.HostID]identifier.Address{"h-1": firstAddress})
+		defer firstSocket.Close()
+		defer first.Close()
+		cases := []reducer.Event{
+			reducer.HostHeard{Host: "h-1", Domain: "fd-1"},
+			submitted,
+			reducer.AttemptLost{Attempt: submitted.Attempt, Server: "s-1"},
+		}
+		for _, c := range cases {
+			first.Send("h-2", c)
+		}
+		for _, c := range cases {
+			gomega.Eventually(second.delivered, patience).Should(gomega.Receive(gomega.Equal(c)))
+		}
+		second.Close()
+		secondSocket.Close()
+		gomega.Eventually(second.delivered, patience).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-1"})))
+		gomega.Eventually(first.delivered, patience).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-2"})))
+	})
+
+	ginkgo.It("gives back an attempt that was never written as refused", func() {
+		socket, address := listen()
+		socket.Close()
+		own, _ := listen()
+		n := start("h-1", own, map[identifier.HostID]identifier.Address{"h-2": address})
+		defer own.Close()
+		defer n.Close()
+		refusal := reducer.AttemptRefused{Attempt: submitted.Attempt, Server: "s-1", Reason: reducer.RefusedUnreachable}
+		for _, to := range []identifier.HostID{"h-2", "nobody"} {
+			n.Send(to, submitted)
+			gomega.Eventually(n.delivered, patience).Should(gomega.Receive(gomega.Equal(refusal)))
+		}
+	})
+})
