cmd/lagooncleat: prove that one host's kill or freeze costs no answer

Cause: process restarts and silent hosts are among what fails. Change: two process tests send 240 queries through one host while the other is killed with -9 or stopped with SIGSTOP; every answer must be whole and its own.

--- /dev/null
+++ b/cmd/lagooncleat/fault_test.go
@@ -0,0 +1,49 @@
+package main_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("an entry host's failure", func() {
+	cases := []struct {
+		name   string
+		signal syscall.Signal
+	}{
+		{"kill", syscall.SIGKILL},
+		{"freeze", syscall.SIGSTOP},
+	}
+	for i, c := range cases {
+		ginkgo.It("leaves no query of the other host without its whole answer: "+c.name, func() {
+			d := newDeployment(10 + i)
+			sessions := d.startDesk()
+			for _, h := range d.hosts {
+				awaitFull(h.Listen.Callers)
+			}
+			const clients, requests = 4, 60
+			var group sync.WaitGroup
+			var once sync.Once
+			for n := range clients {
+				group.Go(func() {
+					defer ginkgo.GinkgoRecover()
+					for i := range requests {
+						if i == requests/4 {
+							once.Do(func() { sessions[0].Signal(c.signal) })
+						}
+						token := fmt.Sprintf(`"caller %d request %d"`, n, i)
+						body := strings.Replace(lookup, "}", `,"body":`+token+"}", 1)
+						r, err := ask(d.hosts[1].Listen.Callers, "desk", body)
+						gomega.Expect(err).NotTo(gomega.HaveOccurred())
+						whole(gomega.Default, r, token)
+					}
+				})
+			}
+			group.Wait()
+		})
+	}
+})
