--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -32,6 +32,7 @@
 	c.Register(&demoCommand{streams: s}, "run")
 	c.Register(&checkCommand{streams: s}, "operate")
 	c.Register(&reportCommand{streams: s}, "operate")
+	c.Register(&statusCommand{streams: s}, "operate")
 }
 
 // fail prints an error and returns the exit status of a failure.
--- /dev/null
+++ b/internal/commander/status.go
@@ -0,0 +1,126 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// statusTimeout bounds the wait for one host's answer.
+const statusTimeout = 2 * time.Second
+
+// statusCommand shows what entry hosts see.
+type statusCommand struct {
+	streams Streams
+	hosts   string
+	output  string
+}
+
+// Name returns the name of the subcommand.
+func (*statusCommand) Name() string { return "status" }
+
+// Synopsis returns one line about the subcommand.
+func (*statusCommand) Synopsis() string { return "show what entry hosts see" }
+
+// Usage returns the help text.
+func (*statusCommand) Usage() string {
+	return `status --hosts ADDRESS[,ADDRESS...] [--output table|json]
+  Shows for each entry host whether it is ready, the configuration version in
+  force, the live entry hosts and the backend servers with a lease. The exit code
+  is 1 when a host did not answer.
+
+  Example: lagooncleat status --hosts 127.0.0.1:8003,127.0.0.1:8013
+`
+}
+
+// SetFlags declares the flags.
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.hosts, "hosts", "", "the operators' listeners of the entry hosts, with commas between")
+	f.StringVar(&c.output, "output", "table", "table or json")
+}
+
+// hostStatus is what a host says of itself, or why it says nothing.
+type hostStatus struct {
+	Address       identifier.Address  `json:"address"`
+	Error         string              `json:"error,omitempty"`
+	Host          identifier.HostID   `json:"host,omitempty"`
+	Ready         bool                `json:"ready"`
+	Configuration identifier.Version  `json:"configuration-version"`
+	Hosts         []identifier.HostID `json:"hosts,omitempty"`
+	Servers       json.RawMessage     `json:"servers,omitempty"`
+}
+
+// Execute runs the subcommand.
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.hosts == "" || f.NArg() > 0 || (c.output != "table" && c.output != "json") {
+		return usage(c.streams, c)
+	}
+	var all []hostStatus
+	exit := subcommands.ExitSuccess
+	for _, address := range addresses(c.hosts) {
+		s, err := fetchStatus(ctx, address)
+		if err != nil {
+			s = hostStatus{Address: address, Error: err.Error()}
+			exit = subcommands.ExitFailure
+		}
+		all = append(all, s)
+	}
+	if err := c.write(all); err != nil {
+		return c.streams.fail(err)
+	}
+	return exit
+}
+
+func (c *statusCommand) write(all []hostStatus) error {
+	if c.output == "json" {
+		e := json.NewEncoder(c.streams.Output)
+		e.SetIndent("", "  ")
+		return e.Encode(all)
+	}
+	return writeStatusTable(c.streams.Output, all)
+}
+
+func writeStatusTable(w io.Writer, all []hostStatus) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "address\thost\tready\tconfiguration\tlive hosts\tservers\terror")
+	for _, s := range all {
+		if s.Error != "" {
+			fmt.Fprintf(t, "%s\t?\t?\t?\t?\t?\t%s\n", s.Address, s.Error)
+			continue
+		}
+		var servers []json.RawMessage
+		if err := json.Unmarshal(s.Servers, &servers); err != nil {
+			return fmt.Errorf("status of %s: %w", s.Address, err)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d\t\n", s.Address, s.Host, s.Ready, s.Configuration, len(s.Hosts), len(servers))
+	}
+	return t.Flush()
+}
+
+func fetchStatus(ctx context.Context, address identifier.Address) (hostStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	s := hostStatus{Address: address}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/status", address), nil)
+	if err != nil {
+		return s, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return s, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("answered with status %d", response.StatusCode)
+	}
+	return s, json.NewDecoder(response.Body).Decode(&s)
+}
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -1,7 +1,9 @@
 package listener
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -66,10 +68,9 @@
 	}
 	v := o.views.View()
 	servers := []server{}
-	for _, list := range v.ByService {
-		for _, a := range list {
-			servers = append(servers, server{a.Server, a.Service, a.Domain, v.Servers[a.Server].Owner, a.Load})
-		}
+	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
+		s := v.Servers[id]
+		servers = append(servers, server{s.Server, s.Service, s.Domain, s.Owner, s.Load})
 	}
 	hosts := []identifier.HostID{}
 	for _, h := range v.Hosts {
