internal/encoder: check declared lengths before decoding

Cause: fuzzing found 58 bytes from a peer that end the process: the msgpack library allocates a list by its declared length, and its own limit never applies. Ruled out: a decoder without preallocation (same crash); skipping the value first (the fuzzer's process was killed: skipping allocates by declared lengths too). Change: a walk over the value rejects lengths beyond the data.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -76,6 +76,9 @@
 		return nil, &UnknownEventError{Detail: "no tag, or one of another version"}
 	}
 	target := reflect.New(reflect.TypeOf(tagged[data[0]]))
+	if err := checkBounds(data[1:]); err != nil {
+		return nil, err
+	}
 	if err := msgpack.Unmarshal(data[1:], target.Interface()); err != nil {
 		return nil, fmt.Errorf("encoder: decode %T: %w", tagged[data[0]], err)
 	}
--- /dev/null
+++ b/internal/encoder/encoder_test.go
@@ -0,0 +1,38 @@
+package encoder_test
+
+import (
+	"testing"
+
+	"github.com/lagooncleat/lagooncleat/internal/encoder"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// FuzzDecode checks that no bytes from a peer crash the host, and that what
+// decodes encodes again.
+func FuzzDecode(f *testing.F) {
+	seeds := []reducer.Event{
+		reducer.HostHeard{Host: "h-1", Domain: "fd-1", Leaving: true},
+		reducer.AttemptServed{
+			Attempt: identifier.AttemptID{Request: "q", Sequence: 1}, Server: "s-1",
+			Snapshot: identifier.Snapshot{Epoch: 1, Version: 2}, Range: identifier.HashRange{To: 5}, Body: []byte("7"),
+		},
+		reducer.ServerRelayed{Age: identifier.Second},
+	}
+	for _, s := range seeds {
+		data, err := encoder.Encode(s)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		event, err := encoder.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := encoder.Encode(event); err != nil {
+			t.Fatalf("%T decodes but does not encode: %v", event, err)
+		}
+	})
+}
