internal/experimenter: play experiments on the policy and two baselines

Cause: nothing measured the policy under load. The change adds the load subcommand with its experiments as data, the two regions, a relay that delays and cuts links, and fakes that crash, start cold and fail fast. Ruled out: a closed loop of clients, which hides queueing.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -31,6 +31,7 @@
 	c.Register(&serveCommand{streams: s}, "run")
 	c.Register(&demoCommand{streams: s}, "run")
 	c.Register(&checkCommand{streams: s}, "operate")
+	c.Register(&loadCommand{streams: s}, "measure")
 }
 
 // fail prints an error and returns the exit status of a failure.
--- /dev/null
+++ b/internal/commander/load.go
@@ -0,0 +1,100 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/internal/demonstrator"
+	"github.com/lagooncleat/lagooncleat/internal/experimenter"
+	"github.com/lagooncleat/lagooncleat/internal/logger"
+)
+
+// defaultRuns is how many alternating runs an experiment has.
+const defaultRuns = 5
+
+// loadCommand plays an experiment.
+type loadCommand struct {
+	streams    Streams
+	experiment string
+	region     string
+	level      string
+	plot       string
+	seconds    float64
+	options    experimenter.Options
+}
+
+// Name returns the name of the subcommand.
+func (*loadCommand) Name() string { return "load" }
+
+// Synopsis returns one line about the subcommand.
+func (*loadCommand) Synopsis() string { return "measure the policy under load and faults" }
+
+// Usage returns the help text.
+func (*loadCommand) Usage() string {
+	return `load --experiment NAME [--region hangar|co-operative] [--runs N] [--seconds S]
+     [--time-scale F] [--seed N] [--plot FILE.svg] [--log-level LEVEL]
+  Runs a region's entry hosts and fake backend servers in this process, offers
+  load, and prints a table and a last line "NAME: figure F, target T, met" or
+  "missed". Two baselines without admission or hedges take turns with the policy.
+  Experiments: ` + strings.Join(experimenter.Names(), ", ") + `
+
+  Example: lagooncleat load --experiment straggler --region hangar
+`
+}
+
+// SetFlags declares the flags.
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.experiment, "experiment", "", "the experiment's name")
+	f.StringVar(&c.region, "region", string(demonstrator.HangarRegion), "hangar or co-operative")
+	f.IntVar(&c.options.Runs, "runs", defaultRuns, "how many alternating runs")
+	f.Float64Var(&c.seconds, "seconds", 0, "measured seconds of each segment; 0 takes the experiment's default")
+	f.Float64Var(&c.options.TimeScale, "time-scale", 0, "factor on all modelled times; 0 takes the experiment's default")
+	f.Uint64Var(&c.options.Seed, "seed", 1, "seed of the arrivals")
+	f.StringVar(&c.plot, "plot", "", "write a plot of the urgent latencies as SVG")
+	f.StringVar(&c.level, "log-level", "error", "what to log: trace, debug, info, warn, error or off")
+}
+
+// Execute runs the subcommand.
+func (c *loadCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.experiment == "" || c.options.Runs < 1 || c.seconds < 0 || c.options.TimeScale < 0 {
+		return usage(c.streams, c)
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	report, err := c.run(stop)
+	if err != nil {
+		return c.streams.fail(err)
+	}
+	if c.plot != "" {
+		if err := report.Plot(c.plot); err != nil {
+			return c.streams.fail(fmt.Errorf("plot: %w", err))
+		}
+	}
+	if err := report.Write(c.streams.Output); err != nil {
+		return c.streams.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *loadCommand) run(ctx context.Context) (*experimenter.Report, error) {
+	experiment, err := experimenter.Find(experimenter.Name(c.experiment))
+	if err != nil {
+		return nil, err
+	}
+	if c.options.Region, err = demonstrator.FindRegion(demonstrator.RegionName(c.region)); err != nil {
+		return nil, err
+	}
+	loggers, err := logger.New(c.streams.Errors, logger.Parameters{Level: c.level})
+	if err != nil {
+		return nil, err
+	}
+	c.options.Measured = time.Duration(c.seconds * float64(time.Second))
+	return experimenter.Run(ctx, experiment, c.options, loggers)
+}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -20,6 +20,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/faker"
 	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/logger"
+	"github.com/lagooncleat/lagooncleat/internal/relayer"
 	"github.com/lagooncleat/lagooncleat/internal/runner"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -56,17 +57,27 @@
 	Domains []identifier.DomainID
 	// HostsPerDomain is how many entry hosts stand in each failure domain.
 	HostsPerDomain int
-	Customers      loader.CustomersFile
-	Services       []Service
-	Epoch          identifier.Epoch
-	Versions       []identifier.IndexVersion
-	Seed           uint64
+	// DomainDelay is the one-way delay between entry hosts of two failure
+	// domains; above 0 their connections run through relays.
+	DomainDelay time.Duration
+	Customers   loader.CustomersFile
+	Services    []Service
+	Epoch       identifier.Epoch
+	Versions    []identifier.IndexVersion
+	Seed        uint64
 }
 
 // Deployment is a running plan.
 type Deployment struct {
 	Hosts   []*runner.Runner
 	Servers []*faker.Server
+	Links   []Link
+}
+
+// Link is the relay on the connections that one entry host makes to another.
+type Link struct {
+	From, To loader.Peer
+	Relay    *relayer.Relay
 }
 
 // Demo returns the plan of the demo: three failure domains with an entry host
@@ -126,6 +137,38 @@
 	for _, h := range d.Hosts {
 		h.Kill()
 	}
+	for _, l := range d.Links {
+		l.Relay.Close()
+	}
+}
+
+// Isolate sets the condition of all links between the failure domain and the others.
+func (d *Deployment) Isolate(domain identifier.DomainID, c relayer.Condition) {
+	for _, l := range d.Links {
+		if (l.From.Domain == domain) != (l.To.Domain == domain) {
+			l.Relay.Set(c)
+		}
+	}
+}
+
+// linked returns the peers with the address of a relay in place of those in other failure domains.
+func (d *Deployment) linked(p Plan, self loader.Peer, peers []loader.Peer) ([]loader.Peer, error) {
+	if p.DomainDelay == 0 {
+		return peers, nil
+	}
+	linked := slices.Clone(peers)
+	for i, peer := range peers {
+		if peer.Domain == self.Domain {
+			continue
+		}
+		relay, err := relayer.New(relayer.Parameters{Target: peer.Address, Delay: p.DomainDelay})
+		if err != nil {
+			return nil, err
+		}
+		d.Links = append(d.Links, Link{From: self, To: peer, Relay: relay})
+		linked[i].Address = relay.Address()
+	}
+	return linked, nil
 }
 
 func (d *Deployment) startHosts(p Plan, loggers *logger.Set) error {
@@ -145,10 +188,14 @@
 		}
 	}
 	for i, self := range peers {
+		linked, err := d.linked(p, self, slices.Concat(peers[:i], peers[i+1:]))
+		if err != nil {
+			return err
+		}
 		d.Hosts = append(d.Hosts, runner.New(loader.Settings{
 			Host:          self.Host,
 			Domain:        self.Domain,
-			Peers:         slices.Concat(peers[:i], peers[i+1:]),
+			Peers:         linked,
 			TrafficStates: loader.DefaultTrafficStates,
 			Shutdown:      loader.Shutdown{TimeoutMillis: loader.DefaultShutdownTimeoutMillis},
 		}, p.Customers, sockets[i], loggers))
@@ -184,6 +231,17 @@
 	return nil
 }
 
+// NewServers starts only the plan's backend servers, which announce themselves to nobody.
+func NewServers(p Plan, loggers *logger.Set) (*Deployment, error) {
+	p.HostsPerDomain = 0
+	d := &Deployment{}
+	if err := d.startServers(p, loggers.Logger(fakerSubsystem)); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
 // announceTo returns the addresses of the failure domain's entry hosts.
 func (d *Deployment) announceTo(p Plan, domain int) []identifier.Address {
 	var addresses []identifier.Address
--- /dev/null
+++ b/internal/demonstrator/region.go
@@ -0,0 +1,183 @@
+package demonstrator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// RegionName names a region.
+type RegionName string
+
+// The regions.
+const (
+	HangarRegion      RegionName = "hangar"
+	CoOperativeRegion RegionName = "co-operative"
+)
+
+// The kinds of work of every customer of a region, one for each rank.
+const (
+	UrgentWork     identifier.WorkKind = "lookup"
+	StandardWork   identifier.WorkKind = "history"
+	DeferrableWork identifier.WorkKind = "archive"
+)
+
+// Works are the kinds of work by rank.
+var Works = [identifier.RankCount]identifier.WorkKind{UrgentWork, StandardWork, DeferrableWork}
+
+// Shape describes one customer of a region and its services.
+type Shape struct {
+	Customer    identifier.CustomerID
+	Services    int
+	Servers     int
+	Slots       identifier.Slots
+	Connections identifier.Connections
+	// Setup is the cost of a new connection.
+	Setup time.Duration
+}
+
+// Region describes a region: its network and its customers. The first customer
+// is the one that experiments put under load.
+type Region struct {
+	Name RegionName
+	// DomainDelay is the one-way delay between failure domains.
+	DomainDelay time.Duration
+	// ClientDelay is the one-way delay to callers.
+	ClientDelay time.Duration
+	Customers   []Shape
+	// Timeouts are how long callers wait, by rank.
+	Timeouts [identifier.RankCount]time.Duration
+	// MinCoverage is the least coverage of an answer, by rank.
+	MinCoverage [identifier.RankCount]float64
+}
+
+const (
+	// regionHosts is how many entry hosts stand in each failure domain of a region.
+	regionHosts = 2
+	// regionServiceTime is the mean service time of a region's backend servers.
+	regionServiceTime = 6 * time.Millisecond
+	// RegionFloor is the share of capacity that the standard and the deferrable rank keep.
+	RegionFloor = 0.1
+)
+
+// UnknownRegionError reports a name that is no region's.
+type UnknownRegionError struct {
+	Name RegionName
+}
+
+// Error lists the valid names.
+func (e *UnknownRegionError) Error() string {
+	return fmt.Sprintf("region %q is none of %s, %s", e.Name, HangarRegion, CoOperativeRegion)
+}
+
+// FindRegion returns the region of the name, or an *UnknownRegionError.
+func FindRegion(name RegionName) (Region, error) {
+	switch name {
+	case HangarRegion:
+		return hangar(), nil
+	case CoOperativeRegion:
+		return coOperative(), nil
+	}
+	return Region{}, &UnknownRegionError{Name: name}
+}
+
+func hangar() Region {
+	return Region{
+		Name:        HangarRegion,
+		DomainDelay: 1500 * time.Microsecond,
+		ClientDelay: time.Millisecond,
+		Customers: []Shape{
+			{"release-desk", 10, 3, 3, 30, 6 * time.Millisecond},
+			{"parts-trace", 15, 3, 3, 30, 6 * time.Millisecond},
+			{"audit-portal", 1, 7, 6, 100, time.Millisecond},
+			{"crew-roster", 1, 3, 6, 100, time.Millisecond},
+		},
+		Timeouts:    [identifier.RankCount]time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond},
+		MinCoverage: [identifier.RankCount]float64{0.9, 0.9, 1},
+	}
+}
+
+func coOperative() Region {
+	return Region{
+		Name:        CoOperativeRegion,
+		DomainDelay: 500 * time.Microsecond,
+		ClientDelay: 3 * time.Millisecond,
+		Customers: []Shape{
+			{"member-desk", 10, 3, 2, 25, 6 * time.Millisecond},
+			{"transfer-ledger", 15, 3, 2, 25, 6 * time.Millisecond},
+			{"statement-batch", 1, 15, 2, 35, time.Millisecond},
+			{"audit-view", 1, 8, 2, 35, time.Millisecond},
+		},
+		Timeouts:    [identifier.RankCount]time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond},
+		MinCoverage: [identifier.RankCount]float64{1, 1, 1},
+	}
+}
+
+// Capacity returns how many queries a second the customer's slots can serve
+// when all times are multiplied by the scale.
+func (s Shape) Capacity(scale float64) float64 {
+	return float64(s.Servers*int(s.Slots)) / (regionServiceTime.Seconds() * scale)
+}
+
+// ServiceNames returns the customer's services, in the order of their ranges.
+func (s Shape) ServiceNames() []identifier.ServiceID {
+	var names []identifier.ServiceID
+	for i := range s.Services {
+		names = append(names, identifier.ServiceID(fmt.Sprintf("%s-%d", s.Customer, i+1)))
+	}
+	return names
+}
+
+// Plan returns the deployment of the region with all times multiplied by the
+// scale: service times, connection set-up, delays and timeouts.
+func (r Region) Plan(scale float64) Plan {
+	p := Plan{
+		Domains:        []identifier.DomainID{"fd-1", "fd-2", "fd-3"},
+		HostsPerDomain: regionHosts,
+		DomainDelay:    Scaled(r.DomainDelay, scale),
+		Epoch:          1,
+		Versions:       []identifier.IndexVersion{1},
+		Seed:           1,
+		Customers:      loader.CustomersFile{Version: 1, Templates: []configurer.Template{r.template(scale)}},
+	}
+	for _, shape := range r.Customers {
+		partition := configurer.EvenPartition(p.Epoch, shape.ServiceNames())
+		p.Customers.Customers = append(p.Customers.Customers, configurer.Customer{
+			ID: shape.Customer, Template: identifier.TemplateID(r.Name), Partition: partition,
+		})
+		for _, shard := range partition.Shards {
+			p.Services = append(p.Services, Service{
+				Service: shard.Service, Range: shard.Range, Servers: shape.Servers, Slots: shape.Slots,
+				Connections: shape.Connections, Queue: int(shape.Connections),
+				ServiceTime: Scaled(regionServiceTime, scale), ConnectionSetup: Scaled(shape.Setup, scale),
+			})
+		}
+	}
+	return p
+}
+
+func (r Region) template(scale float64) configurer.Template {
+	t := configurer.Template{
+		ID:      identifier.TemplateID(r.Name),
+		Budgets: configurer.Budgets{Hedge: 0.05, Retry: 0.1},
+	}
+	floors := [identifier.RankCount]float64{1 - 2*RegionFloor, RegionFloor, RegionFloor}
+	for i, kind := range Works {
+		rank := identifier.Rank(i)
+		timeout := Scaled(r.Timeouts[i], scale).Milliseconds()
+		t.Works = append(t.Works, configurer.Work{Kind: kind, Rank: rank.String()})
+		t.Ranks = append(t.Ranks, configurer.RankParameters{
+			Rank: rank.String(), TimeoutMillis: timeout, MinCoverage: r.MinCoverage[i],
+			Floor: floors[i], TargetMillis: timeout / 2, Objective: 0.99,
+		})
+	}
+	return t
+}
+
+// Scaled multiplies a span by the scale.
+func Scaled(d time.Duration, scale float64) time.Duration {
+	return time.Duration(float64(d) * scale)
+}
--- a/internal/faker/announce.go
+++ b/internal/faker/announce.go
@@ -57,10 +57,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sequence++
-	load := s.waiting + len(s.slots)
-	if s.conduct.ReportedLoad != nil {
-		load = *s.conduct.ReportedLoad
-	}
+	load := s.reportedLoad()
 	p := s.parameters
 	// Marshalling plain values does not fail.
 	body, _ := json.Marshal(struct {
@@ -76,10 +73,10 @@
 		Holdings    []leaser.Holding       `json:"holdings"`
 		Load        int                    `json:"load"`
 	}{
-		p.Server, p.Incarnation, s.sequence, p.Service, p.Domain, s.Address(),
+		p.Server, p.Incarnation, s.sequence, p.Service, p.Domain, s.address,
 		p.Slots, p.Connections, stateNames[s.conduct.State], s.holdings, load,
 	})
-	return body, s.conduct.Mute
+	return body, s.conduct.Mute || s.down
 }
 
 func (s *Server) tell(address identifier.Address, body []byte) error {
@@ -101,6 +98,12 @@
 	return nil
 }
 
+func (s *Server) reject() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tally.Rejected++
+}
+
 // slowListener makes connections over the cap fail and new ones cost time.
 type slowListener struct {
 	net.Listener
@@ -117,6 +120,7 @@
 		if l.server.Tally().Open < int(l.server.parameters.Connections) {
 			return &slowConnection{Conn: c, setup: l.server.parameters.ConnectionSetup}, nil
 		}
+		l.server.reject()
 		c.Close()
 	}
 }
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -43,8 +43,10 @@
 	Connections identifier.Connections
 	// Queue is how many attempts may wait for a slot before the server sheds.
 	Queue int
-	// ServiceTime is the mean of the exponentially distributed service time.
+	// ServiceTime is the mean of the service time.
 	ServiceTime time.Duration
+	// Distribution spreads the service times; nil counts as Exponential.
+	Distribution Distribution
 	// ConnectionSetup delays the first bytes of each new connection.
 	ConnectionSetup time.Duration
 	Holdings        []leaser.Holding
@@ -64,26 +66,34 @@
 	Shed bool
 	// Mute stops the announcements.
 	Mute bool
+	// Behaviours are what else the server does wrong.
+	Behaviours []Behaviour
 }
 
 // Server is a running stand-in for a backend server.
 type Server struct {
 	parameters Parameters
 	logger     hclog.Logger
-	listener   net.Listener
-	http       *http.Server
 	slots      chan struct{}
 	cancel     context.CancelFunc
 	context    context.Context
 	group      sync.WaitGroup
 
 	mutex    sync.Mutex
+	http     *http.Server
+	address  identifier.Address
 	random   *rand.Rand
 	conduct  Conduct
 	holdings []leaser.Holding
 	waiting  int
 	sequence identifier.Sequence
 	tally    Tally
+	// down is set between a crash and the return.
+	down bool
+	// incarnationRuns counts the runs of this incarnation.
+	incarnationRuns int
+	// leavingSince is when the server began to drain or fell silent.
+	leavingSince time.Time
 }
 
 // Tally counts what a server has done.
@@ -97,47 +107,76 @@
 	// Connections counts the connections accepted, and Open those still open.
 	Connections int
 	Open        int
+	// Rejected counts the connections closed at once, over the cap.
+	Rejected int
+	// LateRuns counts the runs that began LeaveGrace or more after the server
+	// began to drain or fell silent.
+	LateRuns int
+	// Crashes counts the crashes.
+	Crashes int
+	// Wasted is the service time spent on attempts that ended early.
+	Wasted time.Duration
 	// LastRun is when an attempt last got a slot.
 	LastRun time.Time
 }
 
 // New starts a server; it serves and announces itself until Close.
 func New(p Parameters, logger hclog.Logger) (*Server, error) {
-	l, err := net.Listen("tcp", string(p.Listen))
-	if err != nil {
-		return nil, fmt.Errorf("faker: listen for %s: %w", p.Server, err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		parameters: p,
 		logger:     logger,
-		listener:   l,
 		slots:      make(chan struct{}, p.Slots),
 		context:    ctx,
 		cancel:     cancel,
 		random:     rand.New(rand.NewPCG(p.Seed, 1)),
 		holdings:   p.Holdings,
 	}
+	if err := s.listen(p.Listen); err != nil {
+		cancel()
+		return nil, err
+	}
+	s.group.Go(s.announceLoop)
+	return s, nil
+}
+
+// listen begins to serve attempts at the address.
+func (s *Server) listen(address identifier.Address) error {
+	l, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return fmt.Errorf("faker: listen for %s: %w", s.parameters.Server, err)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/attempts", s.attempt)
-	s.http = &http.Server{Handler: mux, ConnState: s.countConnections}
+	server := &http.Server{Handler: mux, ConnState: s.countConnections}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.http = server
+	s.address = identifier.Address(l.Addr().String())
+	if s.context.Err() != nil {
+		return l.Close()
+	}
 	s.group.Go(func() {
-		if err := s.http.Serve(&slowListener{l, s}); err != http.ErrServerClosed {
-			logger.Error("backend server stopped", "server", p.Server, "error", err)
+		if err := server.Serve(&slowListener{l, s}); err != http.ErrServerClosed {
+			s.logger.Error("backend server stopped", "server", s.parameters.Server, "error", err)
 		}
 	})
-	s.group.Go(s.announceLoop)
-	return s, nil
+	return nil
 }
 
 // Address returns where the server takes attempts.
 func (s *Server) Address() identifier.Address {
-	return identifier.Address(s.listener.Addr().String())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.address
 }
 
 // SetConduct changes how the server behaves; a changed state is announced at once.
 func (s *Server) SetConduct(c Conduct) {
 	s.mutex.Lock()
+	if c.leaving() && !s.conduct.leaving() {
+		s.leavingSince = time.Now()
+	}
 	s.conduct = c
 	s.mutex.Unlock()
 	s.announce()
@@ -161,7 +200,10 @@
 // Close cuts all connections and stops the server, as a crash would.
 func (s *Server) Close() {
 	s.cancel()
-	s.http.Close()
+	s.mutex.Lock()
+	server := s.http
+	s.mutex.Unlock()
+	server.Close()
 	s.group.Wait()
 }
 
@@ -206,11 +248,18 @@
 		return
 	}
 	defer func() { <-s.slots }()
+	if s.misbehave(w, body) {
+		return
+	}
+	start := time.Now()
+	done := time.NewTimer(s.serviceTime())
+	defer done.Stop()
 	select {
-	case <-time.After(s.serviceTime()):
+	case <-done.C:
 	case <-ctx.Done():
 		s.mutex.Lock()
 		s.tally.Cancelled++
+		s.tally.Wasted += time.Since(start)
 		s.mutex.Unlock()
 		http.Error(w, "deadline passed or request cancelled", http.StatusGatewayTimeout)
 		return
@@ -221,8 +270,9 @@
 		Range    identifier.HashRange `json:"range"`
 		Body     any                  `json:"body"`
 	}{body.Attempt, body.Snapshot, body.Range, struct {
+		Part
 		Echo json.RawMessage `json:"echo,omitempty"`
-	}{body.Body}})
+	}{Part{s.parameters.Server, body.Range, body.Snapshot}, body.Body}})
 }
 
 // admit counts the attempt as waiting, or returns why it is refused.
@@ -265,8 +315,13 @@
 		return false
 	}
 	s.mutex.Lock()
+	now := time.Now()
 	s.tally.Runs++
-	s.tally.LastRun = time.Now()
+	s.tally.LastRun = now
+	s.incarnationRuns++
+	if s.conduct.leaving() && now.Sub(s.leavingSince) >= LeaveGrace {
+		s.tally.LateRuns++
+	}
 	s.mutex.Unlock()
 	return true
 }
@@ -274,10 +329,8 @@
 func (s *Server) serviceTime() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	span := s.random.ExpFloat64() * float64(s.parameters.ServiceTime)
-	if s.conduct.SlowFactor > 0 {
-		span *= s.conduct.SlowFactor
-	}
+	span := draw(s.parameters.Distribution, s.random) * float64(s.parameters.ServiceTime)
+	span *= s.conduct.slowdown(s.incarnationRuns)
 	return time.Duration(span)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -119,6 +119,11 @@
 	return r
 }
 
+// Deliver gives an event to the host, as its listeners do.
+func (r *Runner) Deliver(e reducer.Event) {
+	r.host.Deliver(e)
+}
+
 func peerHosts(s loader.Settings) []router.Host {
 	hosts := make([]router.Host, 0, len(s.Peers))
 	for _, p := range s.Peers {
