--- /dev/null
+++ b/pkg/admitter/admitter_test.go
@@ -0,0 +1,60 @@
+package admitter_test
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/admitter"
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+var _ = ginkgo.Describe("pressure", func() {
+	const ms = identifier.Millisecond
+	estimate := func(backlog uint32) estimator.Estimate {
+		return estimator.Estimate{
+			Backlog: [identifier.RankCount]uint32{backlog, 0, 0},
+			Step:    [identifier.RankCount]identifier.Micros{2 * ms, 2 * ms, 2 * ms},
+			Service: 5 * ms,
+		}
+	}
+	one := []identifier.ServerID{"s-1"}
+	both := []identifier.ServerID{"s-1", "s-2"}
+	cases := []struct {
+		name      string
+		backlogs  []uint32
+		submitted int
+		at        identifier.Instant
+		servers   []identifier.ServerID
+		rank      identifier.Rank
+		remaining identifier.Micros
+		pressure  float64
+	}{
+		{"is none without an estimate", nil, 3, 0, one, identifier.Urgent, 100 * ms, 0},
+		{"is none without servers", []uint32{40}, 0, 0, nil, identifier.Urgent, 100 * ms, 0},
+		{"is none for a rank that does not wait", []uint32{40}, 0, 0, one, identifier.Standard, 100 * ms, 0},
+		{"is the wait as a share of the time left for it", []uint32{20}, 0, 0, one, identifier.Urgent, 100 * ms, 0.5},
+		{"counts work submitted since the estimate", []uint32{20}, 20, 0, one, identifier.Urgent, 100 * ms, 1},
+		{"is that of the best server", []uint32{80, 10}, 0, 0, both, identifier.Urgent, 100 * ms, 0.25},
+		{"is none when the estimate is old", []uint32{80}, 0, identifier.Instant(admitter.EstimateTerm) + 1, one, identifier.Urgent, 100 * ms, 0},
+		{"is high when the queue is nearly full", []uint32{90}, 0, 0, one, identifier.Urgent, 100000 * ms, 0.9},
+	}
+	for _, c := range cases {
+		ginkgo.It(c.name, func() {
+			a := admitter.New(100)
+			for i, backlog := range c.backlogs {
+				a.Hear(0, both[i], estimate(backlog))
+			}
+			for range c.submitted {
+				a.Submitted("s-1", identifier.Urgent)
+			}
+			gomega.Expect(a.Pressure(c.at, c.servers, c.rank, c.remaining)).To(gomega.BeNumerically("~", c.pressure, 1e-9))
+		})
+	}
+
+	ginkgo.It("turns into a chance of refusal in proportion", func() {
+		for _, c := range []struct{ pressure, chance float64 }{{0, 0}, {0.5, 0}, {0.75, 0.5}, {1, 1}, {7, 1}} {
+			gomega.Expect(admitter.Chance(c.pressure)).To(gomega.Equal(c.chance))
+		}
+	})
+})
--- /dev/null
+++ b/pkg/estimator/estimator_test.go
@@ -0,0 +1,50 @@
+package estimator_test
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+var _ = ginkgo.Describe("estimate", func() {
+	const ms = identifier.Millisecond
+	floors := [identifier.RankCount]identifier.Ratio{0.5, 0.1, 0.1}
+	cases := []struct {
+		name string
+		// calls is how many calls of 10 ms of each rank fill the first window.
+		calls [identifier.RankCount]int
+		steps [identifier.RankCount]identifier.Micros
+	}{
+		{"of an idle server shares its slots", [3]int{0, 0, 0}, [3]identifier.Micros{2500, 2500, 2500}},
+		{"leaves lower ranks what urgent work does not use", [3]int{20, 0, 0}, [3]identifier.Micros{5000, 10000, 10000}},
+		{"leaves lower ranks their floors in a flood", [3]int{40, 1, 1}, [3]identifier.Micros{5000, 50000, 50000}},
+		{"is not changed for urgent work by a flood of deferrable work", [3]int{0, 0, 40}, [3]identifier.Micros{5000, 5000, 5000}},
+	}
+	for _, c := range cases {
+		ginkgo.It(c.name, func() {
+			e := estimator.New()
+			end := identifier.Instant(0).Add(estimator.Window) - 1
+			for r, count := range c.calls {
+				for range count {
+					e.Spend(end, identifier.Rank(r), 10*ms, true)
+				}
+			}
+			estimate := e.Estimate(end, 2, [identifier.RankCount]int{4, 5, 6}, floors)
+			for r, step := range c.steps {
+				gomega.Expect(float64(estimate.Step[r])).To(gomega.BeNumerically("~", float64(step), float64(step)/100))
+			}
+			gomega.Expect(estimate.Wait(1, 2)).To(gomega.Equal(7 * estimate.Step[1]))
+		})
+	}
+
+	ginkgo.It("does not count a cancelled call as fast", func() {
+		e := estimator.New()
+		e.Spend(0, identifier.Urgent, 10*ms, true)
+		e.Spend(0, identifier.Urgent, 1*ms, false)
+		gomega.Expect(e.Estimate(0, 1, [3]int{}, floors).Service).To(gomega.Equal(10 * ms))
+		e.Spend(0, identifier.Urgent, 26*ms, false)
+		gomega.Expect(e.Estimate(0, 1, [3]int{}, floors).Service).To(gomega.Equal(11 * ms))
+	})
+})
