pkg/reducer: give slots by rank, floor, deadline, lease and bound; refuse queries early

Cause: the owner queued by rank and arrival only, checked neither lease nor ownership when it dispatched, kept a timer for every job until its deadline, and told the origins nothing. A relayed announcement that was delayed on its way renewed a lease by its time of arrival.

Ruled out: republishing the view at each renewal of a lease, which costs a pass over all servers; a clock shared between hosts for the age of announcements.

Change: slot.go and account.go use the scheduler, limiter and estimator, one timer per server; ownership.go has traffic check lease and ownership by its own clock at dispatch, restricts after a takeover or a freeze, and measures the delay of relays against the fastest; admission.go refuses whole queries early from the owners' estimates, which come with results and every 100 ms to recent submitters. Leaving hosts stay known until they fall silent.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -29,6 +29,7 @@
 	reducer.AttemptServed{},
 	reducer.AttemptRefused{},
 	reducer.AttemptLost{},
+	reducer.QueuesEstimated{},
 }
 
 var tags = indexTags()
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -120,6 +120,14 @@
 	return lapsed
 }
 
+// Expiry returns the instant at which the server's lease lapses; it is 0 when there is none.
+func (l *Leaser) Expiry(id identifier.ServerID) identifier.Instant {
+	if lease, ok := l.leases[id]; ok {
+		return lease.Expires
+	}
+	return 0
+}
+
 // NextExpiry returns the earliest instant at which a lease lapses, or identifier.Never.
 func (l *Leaser) NextExpiry() identifier.Instant {
 	next := identifier.Never
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -33,6 +33,9 @@
 	reducer.CallServed{},
 	reducer.CallRefused{},
 	reducer.CallLost{},
+	reducer.OwnershipRenewed{},
+	reducer.QueuesEstimated{},
+	reducer.LeaseRenewed{},
 }
 
 // FormatError reports a session file that can't be read.
--- /dev/null
+++ b/pkg/reducer/account.go
@@ -0,0 +1,160 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/limiter"
+	"github.com/lagooncleat/lagooncleat/pkg/scheduler"
+)
+
+const (
+	// EstimateInterval separates the publications of the estimates of queues.
+	EstimateInterval = 100 * identifier.Millisecond
+	// submitterTerm is how long a host that has submitted work hears of the queue.
+	submitterTerm = identifier.Second
+)
+
+// account is the owner's account of one backend server.
+type account struct {
+	queue     *scheduler.Scheduler[AttemptSubmitted]
+	flights   map[identifier.AttemptID]*flight
+	limiter   *limiter.Limiter
+	estimator *estimator.Estimator
+	// submitters are the hosts that submitted work and when they last did.
+	submitters map[identifier.HostID]identifier.Instant
+	// review is when the queue is looked at next.
+	review identifier.Instant
+	// waited is set when the latest publication showed jobs that wait.
+	waited bool
+	// floors are the highest floors of the customers seen under a configuration.
+	floors        [identifier.RankCount]identifier.Ratio
+	configuration identifier.Version
+}
+
+// flight is a job that holds a slot.
+type flight struct {
+	job       *job
+	started   identifier.Instant
+	cancelled bool
+}
+
+// account returns the account of a server, a new one if there is none.
+func (s *State) account(id identifier.ServerID) *account {
+	o := &s.traffic.owner
+	a, ok := o.accounts[id]
+	if !ok {
+		a = &account{
+			queue:      scheduler.New[AttemptSubmitted](QueueLimit),
+			flights:    map[identifier.AttemptID]*flight{},
+			limiter:    limiter.New(),
+			estimator:  estimator.New(),
+			submitters: map[identifier.HostID]identifier.Instant{},
+			review:     identifier.Never,
+		}
+		if cautious := max(o.cautious, o.tenures[id].cautious); s.now < cautious {
+			a.limiter.Restrict(cautious)
+		}
+		o.accounts[id] = a
+	}
+	return a
+}
+
+// dropIdle forgets the account of a server that this host does not own once
+// nothing is in flight there.
+func (s *State) dropIdle(id identifier.ServerID, a *account) {
+	server, ok := s.traffic.view.Servers[id]
+	if (!ok || server.Owner != s.parameters.Host) && len(a.flights) == 0 && a.queue.Empty() {
+		delete(s.traffic.owner.accounts, id)
+	}
+}
+
+// raiseFloor takes the floor of the attempt's customer into account: of all
+// customers that share the server, the highest floor counts.
+func (a *account) raiseFloor(v *View, e AttemptSubmitted) {
+	if a.configuration != v.Configuration {
+		a.configuration = v.Configuration
+		a.floors = [identifier.RankCount]identifier.Ratio{}
+	}
+	policy, ok := v.Policies[e.Customer]
+	if !ok || policy.Limits[e.Rank].Floor <= a.floors[e.Rank] {
+		return
+	}
+	a.floors[e.Rank] = policy.Limits[e.Rank].Floor
+	a.queue.SetFloor(e.Rank, a.floors[e.Rank])
+}
+
+// spend records the slot time of a call that has ended.
+func (a *account) spend(now identifier.Instant, f *flight, complete bool) {
+	span := now.Since(f.started)
+	a.queue.Spend(f.job.Rank, f.job.Cost, span)
+	a.estimator.Spend(now, f.job.Rank, span, complete)
+}
+
+// flightsInOrder returns the attempts in flight in order of request and sequence.
+func (a *account) flightsInOrder() []identifier.AttemptID {
+	return slices.SortedFunc(maps.Keys(a.flights), func(x, y identifier.AttemptID) int {
+		return cmp.Or(cmp.Compare(x.Request, y.Request), cmp.Compare(x.Sequence, y.Sequence))
+	})
+}
+
+// estimate returns how soon the server gets to new work.
+func (s *State) estimate(id identifier.ServerID, a *account) estimator.Estimate {
+	var slots identifier.Slots
+	if server, ok := s.traffic.view.Servers[id]; ok {
+		slots = server.Slots
+	}
+	var backlog [identifier.RankCount]int
+	var floors [identifier.RankCount]identifier.Ratio
+	for r := range identifier.Rank(identifier.RankCount) {
+		backlog[r] = a.queue.Length(r)
+		floors[r] = a.queue.Floor(r)
+	}
+	return a.estimator.Estimate(s.now, a.limiter.Limit(s.now, slots), backlog, floors)
+}
+
+func (s *State) schedulePublication() {
+	o := &s.traffic.owner
+	if o.publishing {
+		return
+	}
+	o.publishing = true
+	s.schedule(s.now.Add(EstimateInterval), estimateDue{})
+}
+
+// publishEstimates tells the hosts that submitted work of late about the queues
+// that have jobs waiting, or had at the last publication.
+func (s *State) publishEstimates() {
+	o := &s.traffic.owner
+	o.publishing = false
+	news := map[identifier.HostID][]ServerEstimate{}
+	for _, id := range sortedKeys(o.accounts) {
+		a := o.accounts[id]
+		a.forgetSubmitters(s.now)
+		waits := !a.queue.Empty()
+		if waits || a.waited {
+			for host := range a.submitters {
+				news[host] = append(news[host], ServerEstimate{Server: id, Estimate: s.estimate(id, a)})
+			}
+		}
+		a.waited = waits
+		if len(a.submitters) > 0 {
+			s.schedulePublication()
+		}
+	}
+	for _, host := range sortedKeys(news) {
+		s.emit(Send{To: host, Event: QueuesEstimated{Servers: news[host]}})
+	}
+}
+
+// forgetSubmitters drops the hosts that have submitted nothing for a while.
+func (a *account) forgetSubmitters(now identifier.Instant) {
+	for host, at := range a.submitters {
+		if now.Since(at) > submitterTerm {
+			delete(a.submitters, host)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/reducer/admission.go
@@ -0,0 +1,91 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/admitter"
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// leastRetryAfter is the least hint for a caller whose query was refused early.
+const leastRetryAfter = 100 * identifier.Millisecond
+
+// refuseEarly answers a query that can't get enough of its parts in time, before
+// any part runs, and reports whether it did.
+func (s *State) refuseEarly(q *query) bool {
+	pressure, wait := s.pressure(q)
+	chance := admitter.Chance(pressure)
+	if chance <= 0 || s.random.Float64() >= chance {
+		return false
+	}
+	s.count(EarlyRefusalsCounter, q.Customer, q.rank)
+	s.count(FailuresCounter, q.Customer, q.rank)
+	s.emit(Reply{Request: q.Request, Outcome: Failed{
+		Kind:       Overloaded,
+		Ran:        RanNo,
+		RetryAfter: max(wait, leastRetryAfter),
+		Message:    "the query would not be answered in time",
+	}})
+	return true
+}
+
+// shardPressure is how hard it is to get one shard's part.
+type shardPressure struct {
+	shard    int
+	pressure float64
+}
+
+// pressure returns how hard it is to get the least complete answer that the
+// query accepts, and the wait for its hardest part, in microseconds.
+func (s *State) pressure(q *query) (float64, identifier.Micros) {
+	remaining := q.deadline.Since(s.now)
+	shards := make([]shardPressure, 0, len(q.plan.Servers))
+	highest := 0.0
+	for i, servers := range q.plan.Servers {
+		if len(servers) == 0 {
+			continue
+		}
+		p := s.traffic.admitter.Pressure(s.now, servers, q.rank, remaining)
+		shards = append(shards, shardPressure{i, p})
+		highest = max(highest, p)
+	}
+	if admitter.Chance(highest) == 0 {
+		return 0, 0
+	}
+	needed := s.hardestNeeded(q, shards)
+	return needed.pressure, s.traffic.admitter.Wait(s.now, q.plan.Servers[needed.shard], q.rank)
+}
+
+// hardestNeeded returns the hardest shard of the easiest ones that reach the
+// query's least coverage.
+func (s *State) hardestNeeded(q *query, shards []shardPressure) shardPressure {
+	slices.SortFunc(shards, func(a, b shardPressure) int {
+		if c := cmp.Compare(a.pressure, b.pressure); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.shard, b.shard)
+	})
+	needed := q.minCoverage * identifier.Ratio(identifier.HashSpace)
+	var width identifier.HashPoint
+	for _, p := range shards {
+		width += q.policy.Ranges[p.shard].Width()
+		if identifier.Ratio(width) >= needed {
+			return p
+		}
+	}
+	return shards[len(shards)-1]
+}
+
+// hearEstimate takes in the estimate that came with a result.
+func (s *State) hearEstimate(id identifier.ServerID, e estimator.Estimate) {
+	s.traffic.admitter.Hear(s.now, id, e)
+}
+
+// hearEstimates takes in the estimates that an owner publishes.
+func (s *State) hearEstimates(estimates []ServerEstimate) {
+	for _, e := range estimates {
+		s.hearEstimate(e.Server, e.Estimate)
+	}
+}
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -185,6 +185,7 @@
 	AttemptsCounter       Counter = "attempts"
 	RetriesCounter        Counter = "retries"
 	MismatchedPartCounter Counter = "mismatched-parts"
+	EarlyRefusalsCounter  Counter = "early-refusals"
 
 	// BrokenInvariantsCounter counts invariants found broken; it must stay 0.
 	BrokenInvariantsCounter Counter = "broken-invariants"
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 )
@@ -89,8 +90,28 @@
 		processEvent
 		Host identifier.HostID
 	}
+	// OwnershipRenewed extends the time in which this host may act as an owner. Its
+	// own control state sends it with each heartbeat.
+	OwnershipRenewed struct {
+		processEvent
+		// Until is when the other hosts may take this host's servers over.
+		Until identifier.Instant
+		// Lapsed is set when they may have done so since the last renewal.
+		Lapsed bool
+	}
+	// QueuesEstimated tells the hosts that submit to an owner how its queues stand.
+	QueuesEstimated struct {
+		processEvent
+		Servers []ServerEstimate `msgpack:"s"`
+	}
 )
 
+// ServerEstimate is the estimate of one server's queue.
+type ServerEstimate struct {
+	Server   identifier.ServerID `msgpack:"i"`
+	Estimate estimator.Estimate  `msgpack:"e"`
+}
+
 // Ticket matches a reply effect to the connection that waits for it.
 type Ticket uint64
 
@@ -110,8 +131,9 @@
 	ServerRelayed struct {
 		membershipEvent
 		Announcement leaser.Announcement `msgpack:"a"`
-		// Age is the time since the announcement was made, in microseconds.
-		Age identifier.Micros `msgpack:"g"`
+		// From is the host that relays, and Sent the instant by its clock.
+		From identifier.HostID  `msgpack:"f"`
+		Sent identifier.Instant `msgpack:"t"`
 	}
 	// HostHeard is another entry host's heartbeat.
 	HostHeard struct {
@@ -163,13 +185,15 @@
 		Snapshot identifier.Snapshot  `msgpack:"n"`
 		Range    identifier.HashRange `msgpack:"r"`
 		Body     []byte               `msgpack:"b"`
+		Estimate estimator.Estimate   `msgpack:"q"`
 	}
 	// AttemptRefused reports an attempt that did not run.
 	AttemptRefused struct {
 		queryEvent
-		Attempt identifier.AttemptID `msgpack:"a"`
-		Server  identifier.ServerID  `msgpack:"s"`
-		Reason  RefusalReason        `msgpack:"e"`
+		Attempt  identifier.AttemptID `msgpack:"a"`
+		Server   identifier.ServerID  `msgpack:"s"`
+		Reason   RefusalReason        `msgpack:"e"`
+		Estimate estimator.Estimate   `msgpack:"q"`
 	}
 	// AttemptLost reports an attempt that may have run and whose result is unknown.
 	AttemptLost struct {
@@ -194,6 +218,8 @@
 	RefusedNotOwner
 	// RefusedSnapshot means that the server no longer holds the pinned snapshot.
 	RefusedSnapshot
+	// RefusedOverloaded means that the owner's queue for the server and rank is full.
+	RefusedOverloaded
 )
 
 // Key returns the request of the query.
@@ -258,8 +284,17 @@
 		Attempt identifier.AttemptID
 		Server  identifier.ServerID
 	}
+	// LeaseRenewed tells the owner's traffic that the server's lease goes on.
+	LeaseRenewed struct {
+		slotEvent
+		Server identifier.ServerID
+		Until  identifier.Instant
+	}
 )
 
+// Key returns the server whose lease goes on.
+func (e LeaseRenewed) Key() identifier.ServerID { return e.Server }
+
 // Key returns the server that the attempt runs on.
 func (e AttemptSubmitted) Key() identifier.ServerID { return e.Server }
 
--- /dev/null
+++ b/pkg/reducer/export_test.go
@@ -0,0 +1,11 @@
+package reducer
+
+// Idle reports whether the owner's side holds no slot and no queued attempt.
+func (s *State) Idle() bool {
+	for _, a := range s.traffic.owner.accounts {
+		if len(a.flights) > 0 || !a.queue.Empty() {
+			return false
+		}
+	}
+	return s.traffic.owner.calls == 0
+}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -30,18 +30,26 @@
 	version  identifier.Version
 	policies map[identifier.CustomerID]*configurer.Policy
 	self     router.Host
+	// published is the latest view; beat is when the last heartbeat was sent.
+	published *View
+	beat      identifier.Instant
+	delays    map[identifier.HostID]identifier.Micros
 }
 
 type hostLease struct {
 	host    router.Host
 	expires identifier.Instant
+	// leaving is set while the host finishes what is in flight before it stops.
+	leaving bool
 }
 
 func newControl() control {
 	return control{
-		leases:   leaser.New(LeaseTerm),
-		heard:    map[identifier.HostID]hostLease{},
-		policies: map[identifier.CustomerID]*configurer.Policy{},
+		leases:    leaser.New(LeaseTerm),
+		heard:     map[identifier.HostID]hostLease{},
+		policies:  map[identifier.CustomerID]*configurer.Policy{},
+		published: &View{},
+		delays:    map[identifier.HostID]identifier.Micros{},
 	}
 }
 
@@ -52,7 +60,9 @@
 		hosts = append(hosts, c.self)
 	}
 	for _, h := range c.heard {
-		hosts = append(hosts, h.host)
+		if !h.leaving {
+			hosts = append(hosts, h.host)
+		}
 	}
 	slices.SortFunc(hosts, func(a, b router.Host) int {
 		return strings.Compare(string(a.ID), string(b.ID))
@@ -60,6 +70,17 @@
 	return hosts
 }
 
+// leavingHosts returns the hosts that finish what is in flight, in order of id.
+func (c *control) leavingHosts() []identifier.HostID {
+	var hosts []identifier.HostID
+	for _, id := range sortedKeys(c.heard) {
+		if c.heard[id].leaving {
+			hosts = append(hosts, id)
+		}
+	}
+	return hosts
+}
+
 // startHost begins heartbeats and the search for lapsed leases.
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
@@ -76,7 +97,7 @@
 	case ServerAnnounced:
 		s.reduceAnnounced(e)
 	case ServerRelayed:
-		s.hearServer(s.now.Add(-e.Age), e.Announcement)
+		s.hearServer(s.now.Add(-s.delayOf(e)), e.Announcement)
 	case HostHeard:
 		s.hearHost(e)
 	}
@@ -85,36 +106,35 @@
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
 	s.hearServer(s.now, e.Announcement)
-	s.tellHosts(ServerRelayed{Announcement: e.Announcement})
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Sent: s.now})
 	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
 	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
 }
 
 func (s *State) hearServer(at identifier.Instant, a leaser.Announcement) {
-	if !s.control.leases.Hear(at, a) {
-		return
+	if s.control.leases.Hear(at, a) {
+		s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
+		s.publish()
 	}
-	s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
-	s.publish()
+	s.renewLease(a.Server)
 }
 
 func (s *State) hearHost(e HostHeard) {
-	_, known := s.control.heard[e.Host]
-	if e.Leaving {
-		delete(s.control.heard, e.Host)
-		if known {
-			s.publish()
-		}
-		return
-	}
+	before, known := s.control.heard[e.Host]
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
 		expires: s.now.Add(HostTimeout),
+		leaving: e.Leaving,
 	}
-	if !known {
-		s.log(MembershipSubsystem, Info, "entry host is live", Field{"host", string(e.Host)})
-		s.publish()
+	if known && before.leaving == e.Leaving {
+		return
+	}
+	message := "entry host is live"
+	if e.Leaving {
+		message = "entry host is leaving"
 	}
+	s.log(MembershipSubsystem, Info, message, Field{"host", string(e.Host)})
+	s.publish()
 }
 
 func (s *State) sendHeartbeats() {
@@ -123,6 +143,7 @@
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
 	})
+	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
 }
 
@@ -161,5 +182,6 @@
 }
 
 func (s *State) publish() {
-	s.emit(PublishView{View: newView(&s.control)})
+	s.control.published = newView(&s.control)
+	s.emit(PublishView{View: s.control.published})
 }
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"github.com/lagooncleat/lagooncleat/pkg/admitter"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/coverer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -15,7 +16,9 @@
 type traffic struct {
 	view    *View
 	queries map[identifier.RequestID]*query
-	slots   map[identifier.ServerID]*slots
+	owner   owner
+	// admitter knows the queues of the owners that this host submits to.
+	admitter *admitter.Admitter
 	// outstanding counts this state's own attempts in flight on each server.
 	outstanding map[identifier.ServerID]int
 }
@@ -24,7 +27,8 @@
 	return traffic{
 		view:        &View{},
 		queries:     map[identifier.RequestID]*query{},
-		slots:       map[identifier.ServerID]*slots{},
+		owner:       newOwner(),
+		admitter:    admitter.New(QueueLimit),
 		outstanding: map[identifier.ServerID]int{},
 	}
 }
@@ -62,8 +66,10 @@
 	case QueryAbandoned:
 		s.abandon(e.Request)
 	case AttemptServed:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.mergePart(e)
 	case AttemptRefused:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.endAttempt(e.Attempt, false)
 	case AttemptLost:
 		s.endAttempt(e.Attempt, true)
@@ -92,6 +98,9 @@
 		attempts:      map[uint32]*attempt{},
 		tries:         make([]int, len(policy.Ranges)),
 	}
+	if s.refuseEarly(q) {
+		return
+	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
 	for shard := range policy.Partition.Shards {
@@ -135,6 +144,7 @@
 	q.sequence++
 	q.attempts[q.sequence] = &attempt{shard: shard, server: id, owner: server.Owner}
 	s.traffic.outstanding[id]++
+	s.traffic.admitter.Submitted(id, q.rank)
 	s.count(AttemptsCounter, q.Customer, q.rank)
 	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
 		From:        s.parameters.Host,
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -78,6 +78,12 @@
 		s.adoptView(e.View)
 	case PeerDisconnected:
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
+		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
+		s.forgetDelays(e.Host)
+	case OwnershipRenewed:
+		s.renewOwnership(e)
+	case QueuesEstimated:
+		s.hearEstimates(e.Servers)
 	}
 }
 
@@ -89,8 +95,10 @@
 		s.expireMembers()
 	case queryDue:
 		s.endQueryAtDeadline(t.request)
-	case jobDue:
-		s.expireJob(t.server, t.attempt)
+	case slotDue:
+		s.reviewSlots(t)
+	case estimateDue:
+		s.publishEstimates()
 	}
 }
 
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -141,7 +142,7 @@
 }
 
 var _ = ginkgo.Describe("whole sessions", func() {
-	for _, s := range sessions {
+	for _, s := range slices.Concat(sessions, slotSessions) {
 		ginkgo.It("match the golden file of "+s.name, func() {
 			player := recorder.New(hostOne)
 			for _, i := range s.inputs {
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -1,26 +1,43 @@
 package reducer
 
 import (
-	"slices"
-
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
-	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/scheduler"
 )
 
-// SlotsInvariant says that an owner never has more calls in flight on a server than its slots.
-const SlotsInvariant Invariant = "calls-within-slots"
+// QueueLimit bounds the jobs of one rank that wait for one server.
+const QueueLimit = 512
+
+// Invariants of the owner's side.
+const (
+	// SlotsInvariant says that an owner never has more calls in flight on a server than its slots.
+	SlotsInvariant Invariant = "calls-within-slots"
+	// BalanceInvariant says that each call holds one slot until it ends.
+	BalanceInvariant Invariant = "calls-balance"
+	// FloorInvariant says that no rank waits for much longer than its floor allows.
+	FloorInvariant Invariant = "no-rank-starves"
+)
 
-// slots is the owner's account of one backend server.
-type slots struct {
-	queues [identifier.RankCount][]*job
-	flying map[identifier.AttemptID]*job
+// owner is the part of a traffic state that gives out the slots of the servers
+// that this host owns.
+type owner struct {
+	accounts map[identifier.ServerID]*account
+	tenures  map[identifier.ServerID]tenure
+	// until is when the other hosts may take this host's servers over.
+	until identifier.Instant
+	// cautious is until when calls of previous owners may still run on any server.
+	cautious identifier.Instant
+	// calls counts the calls in flight on all servers.
+	calls int
+	// publishing is set while the next publication of estimates is scheduled.
+	publishing bool
 }
 
-// job is an attempt that waits for a slot or holds one.
-type job struct {
-	AttemptSubmitted
-	deadline  identifier.Instant
-	cancelled bool
+func newOwner() owner {
+	return owner{
+		accounts: map[identifier.ServerID]*account{},
+		tenures:  map[identifier.ServerID]tenure{},
+	}
 }
 
 func (s *State) reduceSlot(event SlotEvent) {
@@ -30,153 +47,258 @@
 	case AttemptCancelled:
 		s.cancel(e)
 	case CallServed:
-		s.endCall(e.Server, e.Attempt, AttemptServed{
-			Attempt: e.Attempt, Server: e.Server, Snapshot: e.Snapshot, Range: e.Range, Body: e.Body,
-		})
+		s.endServed(e)
 	case CallRefused:
-		s.endCall(e.Server, e.Attempt, AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: e.Reason})
+		s.endRefused(e)
 	case CallLost:
-		s.endCall(e.Server, e.Attempt, AttemptLost{Attempt: e.Attempt, Server: e.Server})
+		s.endLost(e)
+	case LeaseRenewed:
+		s.renewServer(e)
 	}
 }
 
 // enqueue accepts an attempt if this host owns the server and may give it new work.
 func (s *State) enqueue(e AttemptSubmitted) {
-	server, ok := s.traffic.view.Servers[e.Server]
-	if !ok || server.Owner != s.parameters.Host || server.State == leaser.Draining {
+	if _, ok := s.owns(e.Server); !ok || !s.confirmed() {
 		s.refuse(e, RefusedNotOwner)
 		return
 	}
-	account, ok := s.traffic.slots[e.Server]
-	if !ok {
-		account = &slots{flying: map[identifier.AttemptID]*job{}}
-		s.traffic.slots[e.Server] = account
+	a := s.account(e.Server)
+	if _, ok := a.flights[e.Attempt]; ok {
+		return
+	}
+	a.submitters[e.From] = s.now
+	a.raiseFloor(s.traffic.view, e)
+	deadline := s.now.Add(e.Remaining)
+	j := &job{ID: e.Attempt, Rank: e.Rank, Deadline: deadline, Payload: e}
+	if !a.queue.Push(j) {
+		s.refuse(e, RefusedOverloaded)
+		return
 	}
-	j := &job{AttemptSubmitted: e, deadline: s.now.Add(e.Remaining)}
-	account.queues[e.Rank] = append(account.queues[e.Rank], j)
-	s.schedule(j.deadline, jobDue{e.Server, e.Attempt})
-	s.dispatch(server, account)
+	s.dispatch(e.Server)
+	s.schedulePublication()
 }
 
-// dispatch gives free slots to the queued attempts, in order of rank, then of arrival.
-func (s *State) dispatch(server *Server, account *slots) {
-	for len(account.flying) < int(server.Slots) {
-		j := account.next()
+// dispatch refuses the queued attempts that have expired, gives free slots to
+// the others, and makes sure that the queue is looked at again in time.
+func (s *State) dispatch(id identifier.ServerID) {
+	a, ok := s.traffic.owner.accounts[id]
+	if !ok || a.queue.Empty() {
+		return
+	}
+	for j := a.queue.Expire(s.now); j != nil; j = a.queue.Expire(s.now) {
+		s.refuse(j.Payload, RefusedExpired)
+	}
+	server, ok := s.owns(id)
+	if !ok {
+		s.refuseQueue(a)
+		return
+	}
+	if !s.confirmed() {
+		return
+	}
+	for len(a.flights) < a.limiter.Limit(s.now, server.Slots) {
+		j := a.queue.Next()
 		if j == nil {
-			return
+			break
 		}
-		account.flying[j.Attempt] = j
-		s.require(len(account.flying) <= int(server.Slots), SlotsInvariant, string(server.Server))
-		s.emit(Call{
-			Server:      j.Server,
-			Address:     server.Address,
-			Connections: server.Connections,
-			Attempt:     j.Attempt,
-			Customer:    j.Customer,
-			Work:        j.Work,
-			Deadline:    j.deadline,
-			Snapshot:    j.Snapshot,
-			Range:       j.Range,
-			Body:        j.Body,
-		})
+		s.call(server, a, j)
 	}
+	s.scheduleReview(server, a)
 }
 
-// next takes the first attempt of the most urgent queue.
-func (a *slots) next() *job {
-	for r := range a.queues {
-		if len(a.queues[r]) > 0 {
-			j := a.queues[r][0]
-			a.queues[r] = a.queues[r][1:]
-			return j
-		}
+// call gives a slot to a job.
+func (s *State) call(server *Server, a *account, j *job) {
+	a.flights[j.ID] = &flight{job: j, started: s.now}
+	s.traffic.owner.calls++
+	s.requireCall(server, a)
+	e := j.Payload
+	s.emit(Call{
+		Server:      e.Server,
+		Address:     server.Address,
+		Connections: server.Connections,
+		Attempt:     e.Attempt,
+		Customer:    e.Customer,
+		Work:        e.Work,
+		Deadline:    j.Deadline,
+		Snapshot:    e.Snapshot,
+		Range:       e.Range,
+		Body:        e.Body,
+	})
+}
+
+// requireCall checks the invariants of a call that is about to start.
+func (s *State) requireCall(server *Server, a *account) {
+	id := string(server.Server)
+	s.require(len(a.flights) <= int(server.Slots), SlotsInvariant, id)
+	_, owned := s.owns(server.Server)
+	s.require(owned && s.confirmed(), LeaseInvariant, id)
+	for r := range identifier.Rank(identifier.RankCount) {
+		s.require(!a.queue.Starved(r), FloorInvariant, id+" "+r.String())
 	}
-	return nil
 }
 
-// take removes a queued attempt; it returns nil when the attempt is not queued.
-func (a *slots) take(id identifier.AttemptID) *job {
-	for r := range a.queues {
-		i := slices.IndexFunc(a.queues[r], func(j *job) bool { return j.Attempt == id })
-		if i >= 0 {
-			j := a.queues[r][i]
-			a.queues[r] = slices.Delete(a.queues[r], i, i+1)
-			return j
-		}
+// scheduleReview makes the queue be looked at when its earliest deadline comes,
+// the lease lapses or the bound on calls grows.
+func (s *State) scheduleReview(server *Server, a *account) {
+	if a.queue.Empty() {
+		return
+	}
+	next := min(a.queue.NextDeadline(), s.leaseOf(server), a.limiter.NextGrowth(s.now))
+	if next < a.review {
+		a.review = next
+		s.schedule(next, slotDue{server: server.Server, at: next})
+	}
+}
+
+// reviewSlots looks at a queue again; a review that an earlier one replaced does nothing.
+func (s *State) reviewSlots(t slotDue) {
+	a, ok := s.traffic.owner.accounts[t.server]
+	if !ok || a.review != t.at {
+		return
 	}
-	return nil
+	a.review = identifier.Never
+	s.dispatch(t.server)
 }
 
-// cancel drops a queued attempt, or closes the call of one in flight.
+// cancel drops a queued attempt, or cancels the call of one in flight.
 func (s *State) cancel(e AttemptCancelled) {
-	account, ok := s.traffic.slots[e.Server]
-	if !ok || account.take(e.Attempt) != nil {
+	a, ok := s.traffic.owner.accounts[e.Server]
+	if !ok || a.queue.Remove(e.Attempt) != nil {
 		return
 	}
-	if j, ok := account.flying[e.Attempt]; ok && !j.cancelled {
-		j.cancelled = true
-		s.emit(CancelCall{Server: e.Server, Attempt: e.Attempt})
+	if f, ok := a.flights[e.Attempt]; ok {
+		s.cancelFlight(f)
 	}
 }
 
-// endCall frees the slot of a call, reports its result and gives the slot to the next attempt.
-func (s *State) endCall(id identifier.ServerID, attempt identifier.AttemptID, result QueryEvent) {
-	account, ok := s.traffic.slots[id]
-	if !ok {
+func (s *State) cancelFlight(f *flight) {
+	if f.cancelled {
 		return
 	}
-	j, ok := account.flying[attempt]
-	if !ok {
+	f.cancelled = true
+	s.emit(CancelCall{Server: f.job.Payload.Server, Attempt: f.job.ID})
+}
+
+func (s *State) endServed(e CallServed) {
+	if a, f := s.land(e.Server, e.Attempt); f != nil {
+		a.spend(s.now, f, !f.cancelled)
+		s.answer(f, AttemptServed{
+			Attempt: e.Attempt, Server: e.Server, Snapshot: e.Snapshot, Range: e.Range, Body: e.Body,
+			Estimate: s.estimate(e.Server, a),
+		})
+		s.dispatch(e.Server)
+	}
+}
+
+// endRefused frees the slot of a call that did not run. A server that sheds has
+// fewer slots free than this host assumed.
+func (s *State) endRefused(e CallRefused) {
+	a, f := s.land(e.Server, e.Attempt)
+	if f == nil {
 		return
 	}
-	delete(account.flying, attempt)
-	if !j.cancelled {
-		s.emit(Send{To: j.From, Event: result})
+	a.queue.Spend(f.job.Rank, f.job.Cost, 0)
+	if e.Reason == RefusedByServer {
+		a.limiter.Shed(s.now, len(a.flights))
 	}
-	if server, ok := s.traffic.view.Servers[id]; ok && server.State != leaser.Draining {
-		s.dispatch(server, account)
+	s.answer(f, AttemptRefused{
+		Attempt: e.Attempt, Server: e.Server, Reason: e.Reason, Estimate: s.estimate(e.Server, a),
+	})
+	s.dispatch(e.Server)
+}
+
+func (s *State) endLost(e CallLost) {
+	if a, f := s.land(e.Server, e.Attempt); f != nil {
+		a.spend(s.now, f, false)
+		s.answer(f, AttemptLost{Attempt: e.Attempt, Server: e.Server})
+		s.dispatch(e.Server)
 	}
 }
 
-// expireJob refuses an attempt whose deadline has passed in the queue.
-func (s *State) expireJob(id identifier.ServerID, attempt identifier.AttemptID) {
-	account, ok := s.traffic.slots[id]
+// land frees the slot of a call; it returns no flight when the call holds none.
+func (s *State) land(id identifier.ServerID, attempt identifier.AttemptID) (*account, *flight) {
+	a, ok := s.traffic.owner.accounts[id]
 	if !ok {
-		return
+		return nil, nil
+	}
+	f, ok := a.flights[attempt]
+	if !ok {
+		return a, nil
 	}
-	if j := account.take(attempt); j != nil {
-		s.refuse(j.AttemptSubmitted, RefusedExpired)
+	delete(a.flights, attempt)
+	s.traffic.owner.calls--
+	s.dropIdle(id, a)
+	return a, f
+}
+
+// answer tells the origin how its attempt ended, unless it no longer waits.
+func (s *State) answer(f *flight, result QueryEvent) {
+	if !f.cancelled {
+		s.emit(Send{To: f.job.Payload.From, Event: result})
 	}
 }
 
 func (s *State) refuse(e AttemptSubmitted, reason RefusalReason) {
-	s.emit(Send{To: e.From, Event: AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: reason}})
+	refused := AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: reason}
+	if a, ok := s.traffic.owner.accounts[e.Server]; ok {
+		refused.Estimate = s.estimate(e.Server, a)
+	}
+	s.emit(Send{To: e.From, Event: refused})
+}
+
+// refuseQueue refuses all queued attempts of a server that this host no longer gives work to.
+func (s *State) refuseQueue(a *account) {
+	for _, j := range a.queue.Select(func(*job) bool { return true }) {
+		a.queue.Remove(j.ID)
+		s.emit(Send{To: j.Payload.From, Event: AttemptRefused{
+			Attempt: j.ID, Server: j.Payload.Server, Reason: RefusedNotOwner,
+		}})
+	}
 }
 
 // adoptView takes a view into use and refuses queued attempts of servers that
 // this host no longer gives work to.
 func (s *State) adoptView(v *View) {
+	s.adoptTenures(s.traffic.view, v)
 	s.traffic.view = v
-	for _, id := range sortedKeys(s.traffic.slots) {
-		account := s.traffic.slots[id]
-		server, ok := v.Servers[id]
-		if ok && server.Owner == s.parameters.Host && server.State != leaser.Draining {
-			s.dispatch(server, account)
-			continue
-		}
-		for r := range account.queues {
-			for _, j := range account.queues[r] {
-				s.refuse(j.AttemptSubmitted, RefusedNotOwner)
-			}
-			account.queues[r] = nil
-		}
-		if len(account.flying) == 0 {
-			delete(s.traffic.slots, id)
-		}
+	o := &s.traffic.owner
+	flights := 0
+	for _, id := range sortedKeys(o.accounts) {
+		a := o.accounts[id]
+		flights += len(a.flights)
+		s.dispatch(id)
+		s.dropIdle(id, a)
 	}
+	s.require(flights == o.calls, BalanceInvariant, "calls in flight")
+	s.traffic.admitter.Retain(func(id identifier.ServerID) bool { return v.Servers[id] != nil })
 	live := map[identifier.HostID]bool{s.parameters.Host: true}
 	for _, h := range v.Hosts {
 		live[h.ID] = true
 	}
+	for _, h := range v.Leaving {
+		live[h] = true
+	}
 	s.loseAttempts(func(owner identifier.HostID) bool { return !live[owner] })
+	s.dropWorkOf(func(origin identifier.HostID) bool { return !live[origin] })
 }
+
+// dropWorkOf drops the attempts of origins that have gone: those in the queue
+// at once, and those in flight by cancelling them if they are repeatable.
+func (s *State) dropWorkOf(gone func(origin identifier.HostID) bool) {
+	for _, id := range sortedKeys(s.traffic.owner.accounts) {
+		a := s.traffic.owner.accounts[id]
+		for _, j := range a.queue.Select(func(j *job) bool { return gone(j.Payload.From) }) {
+			a.queue.Remove(j.ID)
+		}
+		for _, attempt := range a.flightsInOrder() {
+			f := a.flights[attempt]
+			if gone(f.job.Payload.From) && f.job.Payload.Repeatable {
+				s.cancelFlight(f)
+			}
+		}
+	}
+}
+
+// job is an attempt that waits for a slot or holds one.
+type job = scheduler.Job[AttemptSubmitted]
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -17,17 +17,20 @@
 	expiryDue struct{}
 	// queryDue ends a query at its deadline.
 	queryDue struct{ request identifier.RequestID }
-	// jobDue drops a queued attempt at its deadline.
-	jobDue struct {
-		server  identifier.ServerID
-		attempt identifier.AttemptID
+	// slotDue looks at a server's queue when a deadline comes or its bound grows.
+	slotDue struct {
+		server identifier.ServerID
+		at     identifier.Instant
 	}
+	// estimateDue publishes the estimates of the queues.
+	estimateDue struct{}
 )
 
 func (heartbeatDue) isTimer() {}
 func (expiryDue) isTimer()    {}
 func (queryDue) isTimer()     {}
-func (jobDue) isTimer()       {}
+func (slotDue) isTimer()      {}
+func (estimateDue) isTimer()  {}
 
 type scheduled struct {
 	at    identifier.Instant
