--- a/internal/encoder/variant_test.go
+++ b/internal/encoder/variant_test.go
@@ -1,10 +1,13 @@
 package encoder_test
 
 import (
+	"bytes"
+	"errors"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lagooncleat/lagooncleat/internal/encoder"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
@@ -67,7 +70,39 @@
 	{"revisions", reducer.RevisionsSent{Host: "h", Version: 3, Revisions: []registrar.Revision{{Version: 3, Edit: registrar.CustomerDeleted{Customer: "c"}}}}},
 }
 
+// outOfPlace has the fields of an operation's answer, but for another type of answer.
+type outOfPlace struct {
+	From   string
+	Number uint64
+	Answer any
+}
+
 var _ = ginkgo.Describe("events with variants", func() {
+	ginkgo.It("are rejected with a variant in the wrong field", func() {
+		data, err := encoder.Encode(answer(reducer.Committed{}))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		var body bytes.Buffer
+		e := msgpack.NewEncoder(&body)
+		e.UseArrayEncodedStructs(true)
+		gomega.Expect(e.Encode(outOfPlace{"h", 7, reducer.NoCommand{}})).To(gomega.Succeed())
+		_, err = encoder.Decode(append(data[:1], body.Bytes()...))
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("wrong field")))
+	})
+
+	ginkgo.It("are rejected when variants lie too deep in each other", func() {
+		data, err := encoder.Encode(answer(reducer.Committed{}))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		// Each extension is of 8-bit length and holds the next as the only field of an array.
+		inner := []byte{0x90}
+		for range 20 {
+			inner = append([]byte{0xc7, byte(len(inner) + 1), 24, 0x91}, inner...)
+		}
+		body := append([]byte{0x93, 0xa1, 'h', 7}, inner...)
+		_, err = encoder.Decode(append(data[:1], body...))
+		var tooDeep *encoder.LengthError
+		gomega.Expect(errors.As(err, &tooDeep)).To(gomega.BeTrue())
+	})
+
 	for _, c := range travelling {
 		ginkgo.It("travel: "+c.name, func() {
 			data, err := encoder.Encode(c.event)
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -168,5 +168,5 @@
 		s.redirect(p.waiter)
 		return
 	}
-	s.answer(p.waiter, readRegistry(s.control.replicated.registry, p.read))
+	s.answerOperation(p.waiter, readRegistry(s.control.replicated.registry, p.read))
 }
--- a/pkg/reducer/ledger.go
+++ b/pkg/reducer/ledger.go
@@ -103,12 +103,12 @@
 	}
 	answer, ok := e.Answer.(IntentDecided)
 	if !ok {
-		s.endUnrun(q, Failed{Kind: LedgerMissing, Ran: RanNo, Message: ledgerUnavailable})
+		s.conclude(q, Failed{Kind: LedgerMissing, Ran: RanNo, Message: ledgerUnavailable})
 		return
 	}
 	if _, granted := answer.Decision.(deduplicator.Granted); !granted {
 		q.recording = decided
-		s.endUnrun(q, refusalOf(answer))
+		s.conclude(q, refusalOf(answer))
 		return
 	}
 	key := intentOf(q.QueryArrived).Key
@@ -119,18 +119,6 @@
 	s.start(q)
 }
 
-// endUnrun ends a query that has run nothing.
-func (s *State) endUnrun(q *query, o Outcome) {
-	s.drop(q)
-	if _, answered := o.(Answered); answered {
-		s.count(AnswersCounter, q.Customer, q.rank)
-	} else {
-		s.count(FailuresCounter, q.Customer, q.rank)
-	}
-	s.emit(Reply{Request: q.Request, Outcome: o})
-	s.settle(q, o)
-}
-
 // refusalOf returns the reply to a query whose intent was not granted.
 func refusalOf(a IntentDecided) Outcome {
 	switch a.Decision.(type) {
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -302,7 +302,8 @@
 	s.tell(w, OperationRedirected{Number: w.number, Leader: leader})
 }
 
-func (s *State) answer(w waiter, a Answer) {
+// answerOperation gives the leader's answer to a waiter.
+func (s *State) answerOperation(w waiter, a Answer) {
 	delete(s.control.operations.known, w)
 	s.tell(w, OperationAnswered{From: s.parameters.Host, Number: w.number, Answer: a})
 }
@@ -323,7 +324,7 @@
 		return
 	}
 	delete(s.control.operations.proposed, index)
-	s.answer(w, a)
+	s.answerOperation(w, a)
 }
 
 // dropWaiters redirects every host that waits for this one, which leads no longer.
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"github.com/lagooncleat/lagooncleat/pkg/admitter"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/coverer"
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
@@ -16,7 +17,9 @@
 type traffic struct {
 	view    *View
 	queries map[identifier.RequestID]*query
-	slots   map[identifier.ServerID]*slots
+	owner   owner
+	// admitter knows the queues of the owners that this host submits to.
+	admitter *admitter.Admitter
 	// outstanding counts this state's own attempts in flight on each server.
 	outstanding map[identifier.ServerID]int
 	// running holds the dispatched requests that are not repeatable, by key.
@@ -27,7 +30,8 @@
 	return traffic{
 		view:        &View{},
 		queries:     map[identifier.RequestID]*query{},
-		slots:       map[identifier.ServerID]*slots{},
+		owner:       newOwner(),
+		admitter:    admitter.New(QueueLimit),
 		outstanding: map[identifier.ServerID]int{},
 		running:     map[deduplicator.Key]identifier.RequestID{},
 	}
@@ -39,6 +43,7 @@
 	policy        *configurer.Policy
 	configuration identifier.Version
 	rank          identifier.Rank
+	arrival       identifier.Instant
 	deadline      identifier.Instant
 	minCoverage   identifier.Ratio
 	plan          planner.Plan
@@ -69,8 +74,10 @@
 	case QueryAbandoned:
 		s.abandon(e.Request)
 	case AttemptServed:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.mergePart(e)
 	case AttemptRefused:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.endAttempt(e.Attempt, false)
 	case AttemptLost:
 		s.endAttempt(e.Attempt, true)
@@ -83,6 +90,9 @@
 	policy, rank, failure := s.classify(e)
 	if failure != nil {
 		s.count(FailuresCounter, e.Customer, rank)
+		if policy != nil {
+			s.observe(e.Customer, rank, policy.Limits[rank], 0, *failure)
+		}
 		s.emit(Reply{Request: e.Request, Outcome: *failure})
 		return
 	}
@@ -92,6 +102,7 @@
 		policy:        policy,
 		configuration: s.traffic.view.Configuration,
 		rank:          rank,
+		arrival:       s.now,
 		deadline:      s.now.Add(min(e.Timeout, limits.Timeout)),
 		minCoverage:   max(e.MinCoverage, limits.MinCoverage),
 		plan:          planner.Pin(policy.Partition, s.announcements),
@@ -99,6 +110,9 @@
 		attempts:      map[uint32]*attempt{},
 		tries:         make([]int, len(policy.Ranges)),
 	}
+	if s.refuseEarly(q) {
+		return
+	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
 	if !e.Repeatable {
@@ -130,7 +144,7 @@
 		return nil, 0, &Failed{Kind: UnknownWork, Ran: RanNo, Message: "the customer has no such kind of work"}
 	}
 	if !e.Repeatable && len(s.parameters.ControlHosts) == 0 {
-		return nil, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need control hosts"}
+		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need control hosts"}
 	}
 	return policy, rank, nil
 }
@@ -151,6 +165,7 @@
 	q.sequence++
 	q.attempts[q.sequence] = &attempt{shard: shard, server: id, owner: server.Owner}
 	s.traffic.outstanding[id]++
+	s.traffic.admitter.Submitted(id, q.rank)
 	s.count(AttemptsCounter, q.Customer, q.rank)
 	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
 		From:        s.parameters.Host,
@@ -284,35 +299,43 @@
 
 // finish ends a query: an answer when its coverage suffices, else a failure of the given kind.
 func (s *State) finish(q *query, kind FailureKind) {
+	s.conclude(q, q.outcome(kind))
+}
+
+// conclude ends a query with an outcome.
+func (s *State) conclude(q *query, outcome Outcome) {
 	s.drop(q)
+	counter := AnswersCounter
+	if _, failed := outcome.(Failed); failed {
+		counter = FailuresCounter
+	}
+	s.count(counter, q.Customer, q.rank)
+	s.observe(q.Customer, q.rank, q.policy.Limits[q.rank], s.now.Since(q.arrival), outcome)
+	s.emit(Reply{Request: q.Request, Outcome: outcome})
+	s.settle(q, outcome)
+}
+
+// outcome returns the answer when its coverage suffices, else a failure of the given kind.
+func (q *query) outcome(kind FailureKind) Outcome {
 	coverage := q.coverage.Ratio()
 	if coverage > 0 && coverage >= q.minCoverage {
-		s.count(AnswersCounter, q.Customer, q.rank)
-		s.reply(q, Answered{
+		return Answered{
 			Configuration: q.configuration,
 			Snapshot:      q.plan.Snapshot,
 			Coverage:      coverage,
 			Parts:         q.parts,
-		})
-		return
+		}
 	}
 	ran := RanNo
 	if q.ran {
 		ran = RanMaybe
 	}
-	s.count(FailuresCounter, q.Customer, q.rank)
-	s.reply(q, Failed{
+	return Failed{
 		Kind:     kind,
 		Ran:      ran,
 		Coverage: coverage,
 		Message:  "the answer is less complete than the customer requires",
-	})
-}
-
-// reply answers the caller and tells the ledger.
-func (s *State) reply(q *query, o Outcome) {
-	s.emit(Reply{Request: q.Request, Outcome: o})
-	s.settle(q, o)
+	}
 }
 
 func (s *State) abandon(request identifier.RequestID) {
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -164,7 +165,7 @@
 }
 
 var _ = ginkgo.Describe("whole sessions", func() {
-	for _, s := range sessions {
+	for _, s := range slices.Concat(sessions, slotSessions) {
 		ginkgo.It("match the golden file of "+s.name, func() {
 			expectGolden(s.name, hostOne, s.inputs)
 		})
