internal/storer: keep records in one data folder

Cause: what a control host promises must be synced first, and damage never skipped. A last frame that is fully written but fails its checksum counts as damage: it may have been synced and promised.

--- /dev/null
+++ b/internal/storer/storer_test.go
@@ -0,0 +1,249 @@
+package storer_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/storer"
+)
+
+// size of a record that spans several sectors of a disk.
+const large = 3000
+
+func records(from, count int) [][]byte {
+	var list [][]byte
+	for i := range count {
+		list = append(list, []byte(fmt.Sprintf("record %d %s", from+i, strings.Repeat("x", large))))
+	}
+	return list
+}
+
+func open(folder string) (*storer.Storer, storer.Contents) {
+	s, c, err := storer.Open(storer.Parameters{Folder: folder})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return s, c
+}
+
+// filled returns a folder with three frames of one record each, and its segment.
+func filled() (folder, segment string) {
+	folder = filepath.Join(ginkgo.GinkgoT().TempDir(), "data")
+	s, _ := open(folder)
+	for i := range 3 {
+		gomega.Expect(s.Append(records(i, 1))).To(gomega.Succeed())
+	}
+	gomega.Expect(s.Close()).To(gomega.Succeed())
+	return folder, filepath.Join(folder, "segment-0000000000000001")
+}
+
+func flip(data []byte, at int) []byte {
+	data[at] ^= 1
+	return data
+}
+
+func zero(data []byte, from, to int) []byte {
+	clear(data[from:to])
+	return data
+}
+
+var _ = ginkgo.Describe("a data folder", func() {
+	ginkgo.It("returns what was stored, by snapshot and records", func() {
+		folder, _ := filled()
+		s, c := open(folder)
+		gomega.Expect(c.Records).To(gomega.Equal(records(0, 3)))
+		gomega.Expect(c.Snapshot).To(gomega.BeNil())
+		gomega.Expect(s.Compact([]byte("state"), records(7, 1))).To(gomega.Succeed())
+		gomega.Expect(s.Append(records(8, 2))).To(gomega.Succeed())
+		gomega.Expect(s.Close()).To(gomega.Succeed())
+		s, again := open(folder)
+		defer s.Close()
+		gomega.Expect(again.Replica).To(gomega.Equal(c.Replica))
+		gomega.Expect(string(again.Snapshot)).To(gomega.Equal("state"))
+		gomega.Expect(again.Records).To(gomega.Equal(records(7, 3)))
+	})
+
+	ginkgo.It("is bounded by compaction", func() {
+		folder, _ := filled()
+		s, _ := open(folder)
+		defer s.Close()
+		for i := range 60 {
+			gomega.Expect(s.Append(records(i, 1))).To(gomega.Succeed())
+		}
+		before, err := s.Size()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.Compact([]byte("state"), records(60, 1))).To(gomega.Succeed())
+		after, err := s.Size()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.GinkgoWriter.Printf("folder: %d bytes before compaction, %d after\n", before, after)
+		gomega.Expect(after).To(gomega.BeNumerically("<", 2*large))
+		files, err := os.ReadDir(folder)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(files).To(gomega.HaveLen(4))
+	})
+
+	ginkgo.It("gets another identity when its disk is replaced", func() {
+		folder, _ := filled()
+		s, first := open(folder)
+		gomega.Expect(s.Close()).To(gomega.Succeed())
+		gomega.Expect(os.RemoveAll(folder)).To(gomega.Succeed())
+		s, second := open(folder)
+		defer s.Close()
+		gomega.Expect(second.Replica).NotTo(gomega.Equal(first.Replica))
+		gomega.Expect(second.Records).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("serves one process only", func() {
+		folder, _ := filled()
+		s, _ := open(folder)
+		defer s.Close()
+		_, _, err := storer.Open(storer.Parameters{Folder: folder})
+		var locked *storer.LockedError
+		gomega.Expect(errors.As(err, &locked)).To(gomega.BeTrue(), "%v", err)
+	})
+})
+
+// frame is the size of a frame of one record.
+const frame = large + 25
+
+var damages = []struct {
+	name   string
+	damage func([]byte) []byte
+	// kept is how many records remain; -1 when the folder is refused, at the offset.
+	kept   int
+	offset int64
+}{
+	{"nothing", func(d []byte) []byte { return d }, 3, 0},
+	{"last frame cut short in its payload", func(d []byte) []byte { return d[:len(d)-5] }, 2, 0},
+	{"last frame cut short in its header", func(d []byte) []byte { return d[:2*frame+5] }, 2, 0},
+	{"a sector of the last frame not written", func(d []byte) []byte { return zero(d, 7168, 7680) }, 2, 0},
+	{"header of the last frame not written", func(d []byte) []byte { return zero(d, 2*frame, 6144) }, 2, 0},
+	{"file extended, nothing written", func(d []byte) []byte { return append(d, make([]byte, 2000)...) }, 3, 0},
+	{"bit flipped in the first payload", func(d []byte) []byte { return flip(d, 100) }, -1, 0},
+	{"bit flipped in the first length", func(d []byte) []byte { return flip(d, 0) }, -1, 0},
+	{"bit flipped in the middle payload", func(d []byte) []byte { return flip(d, frame+100) }, -1, frame},
+	{"bit flipped in the middle header", func(d []byte) []byte { return flip(d, frame+2) }, -1, frame},
+	{"bit flipped in the last payload, all written", func(d []byte) []byte { return flip(d, 2*frame+100) }, -1, 2 * frame},
+	{"sector of the middle frame zero", func(d []byte) []byte { return zero(d, 4096, 4608) }, -1, frame},
+	{"middle frame missing", func(d []byte) []byte { return append(d[:frame:frame], d[2*frame:]...) }, -1, frame},
+	{"first frame written twice", func(d []byte) []byte { return append(d[:frame:frame], d...) }, -1, frame},
+}
+
+var _ = ginkgo.Describe("a damaged segment", func() {
+	for _, c := range damages {
+		ginkgo.It("is repaired or refused: "+c.name, func() {
+			folder, segment := filled()
+			data, err := os.ReadFile(segment)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(data).To(gomega.HaveLen(3 * frame))
+			damaged := c.damage(data)
+			gomega.Expect(os.WriteFile(segment, damaged, 0o600)).To(gomega.Succeed())
+			s, contents, err := storer.Open(storer.Parameters{Folder: folder})
+			if c.kept < 0 {
+				var corrupt *storer.CorruptError
+				gomega.Expect(errors.As(err, &corrupt)).To(gomega.BeTrue(), "%v", err)
+				gomega.Expect(corrupt.File).To(gomega.Equal(segment))
+				gomega.Expect(corrupt.Offset).To(gomega.Equal(c.offset))
+				left, err := os.ReadFile(segment)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(left).To(gomega.Equal(damaged))
+				return
+			}
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(contents.Records).To(gomega.HaveExactElements(records(0, c.kept)))
+			gomega.Expect(s.Append(records(9, 1))).To(gomega.Succeed())
+			gomega.Expect(s.Close()).To(gomega.Succeed())
+			s, contents = open(folder)
+			defer s.Close()
+			gomega.Expect(contents.Records).To(gomega.Equal(append(records(0, 3)[:c.kept], records(9, 1)...)))
+		})
+	}
+
+	for _, name := range []string{"snapshot-0000000000000002", "replica-id"} {
+		ginkgo.It("is refused when it is "+name, func() {
+			folder, _ := filled()
+			s, _ := open(folder)
+			gomega.Expect(s.Compact([]byte("state"), nil)).To(gomega.Succeed())
+			gomega.Expect(s.Close()).To(gomega.Succeed())
+			file := filepath.Join(folder, name)
+			data, err := os.ReadFile(file)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			for _, content := range [][]byte{flip(data, len(data)-1), nil} {
+				gomega.Expect(os.WriteFile(file, content, 0o600)).To(gomega.Succeed())
+				_, _, err = storer.Open(storer.Parameters{Folder: folder})
+				var corrupt *storer.CorruptError
+				gomega.Expect(errors.As(err, &corrupt)).To(gomega.BeTrue(), "%v", err)
+				gomega.Expect(corrupt.File).To(gomega.Equal(file))
+			}
+		})
+	}
+})
+
+// limitedFile fails like a full disk after some bytes, or at a sync.
+type limitedFile struct {
+	storer.File
+	space    int
+	syncs    int
+	attempts int
+}
+
+func (f *limitedFile) Write(data []byte) (int, error) {
+	f.attempts++
+	if len(data) > f.space {
+		n, _ := f.File.Write(data[:f.space])
+		f.space = 0
+		return n, syscall.ENOSPC
+	}
+	f.space -= len(data)
+	return f.File.Write(data)
+}
+
+func (f *limitedFile) Sync() error {
+	f.syncs--
+	if f.syncs < 0 {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+var _ = ginkgo.Describe("a failing disk", func() {
+	cases := []struct {
+		name         string
+		space, syncs int
+		cause        error
+		kept         int
+	}{
+		{"full at once", 0, 99, syscall.ENOSPC, 0},
+		{"full in the second frame", frame + 100, 99, syscall.ENOSPC, 1},
+		{"second sync fails", 99 * frame, 1, syscall.EIO, 2},
+	}
+	for _, c := range cases {
+		ginkgo.It("is reported and not used again: "+c.name, func() {
+			folder := filepath.Join(ginkgo.GinkgoT().TempDir(), "data")
+			var file *limitedFile
+			s, _, err := storer.Open(storer.Parameters{Folder: folder, Wrap: func(f storer.File) storer.File {
+				file = &limitedFile{File: f, space: c.space, syncs: c.syncs}
+				return file
+			}})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			for i := range 3 {
+				err = s.Append(records(i, 1))
+			}
+			var failed *storer.FailedError
+			gomega.Expect(errors.As(err, &failed)).To(gomega.BeTrue(), "%v", err)
+			gomega.Expect(errors.Is(err, c.cause)).To(gomega.BeTrue(), "%v", err)
+			attempts := file.attempts
+			gomega.Expect(s.Compact([]byte("state"), nil)).To(gomega.MatchError(err))
+			gomega.Expect(file.attempts).To(gomega.Equal(attempts))
+			gomega.Expect(s.Close()).To(gomega.Succeed())
+			s, contents := open(folder)
+			defer s.Close()
+			gomega.Expect(contents.Records).To(gomega.HaveExactElements(records(0, c.kept)))
+		})
+	}
+})
