pkg/reducer: keep the replicated log in the control state

Cause: the hooks of the state machine need the log behind them. Change: replication events (log recovered, records stored, storage failed, message from a control host), the StoreRecords effect, and one settling step at the end of each Reduce; each Reduce first runs what is due, so a leader that was frozen steps down before it looks at the event. Messages and records are variants of the encoder; the recorder leaves type arguments out of names.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -35,6 +35,7 @@
 	reducer.OperationForwarded{},
 	reducer.OperationRedirected{},
 	reducer.OperationAnswered{},
+	reducer.ReplicaMessaged{},
 }
 
 var tags = indexTags()
--- a/internal/encoder/variant.go
+++ b/internal/encoder/variant.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -27,7 +28,8 @@
 
 // plainOf returns a struct whose only field, the given type, is encoded inline.
 func plainOf(t reflect.Type) reflect.Type {
-	return reflect.StructOf([]reflect.StructField{{Name: t.Name(), Type: t, Anonymous: true, Tag: `msgpack:",inline"`}})
+	name, _, _ := strings.Cut(t.Name(), "[")
+	return reflect.StructOf([]reflect.StructField{{Name: name, Type: t, Anonymous: true, Tag: `msgpack:",inline"`}})
 }
 
 func (v variant) encode(_ *msgpack.Encoder, value reflect.Value) ([]byte, error) {
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -42,6 +42,10 @@
 	reducer.OperationRedirected{},
 	reducer.OperationAnswered{},
 	reducer.IntentAnswered{},
+	reducer.LogRecovered{},
+	reducer.RecordsStored{},
+	reducer.StorageFailed{},
+	reducer.ReplicaMessaged{},
 }
 
 // FormatError reports a session file that can't be read.
@@ -69,6 +73,12 @@
 	return b.String()
 }
 
+// typeName returns the name of a type in kebab case, without its type arguments.
+func typeName(t reflect.Type) string {
+	name, _, _ := strings.Cut(t.Name(), "[")
+	return kebab(name)
+}
+
 func scalar(value any) *yaml.Node {
 	node := &yaml.Node{}
 	if err := node.Encode(value); err != nil {
@@ -88,7 +98,7 @@
 // encodeNamed returns the value as a mapping from its type's name to its fields.
 func encodeNamed(value any) *yaml.Node {
 	m := mapping()
-	add(m, kebab(reflect.TypeOf(value).Name()), encode(value))
+	add(m, typeName(reflect.TypeOf(value)), encode(value))
 	return m
 }
 
@@ -179,7 +189,7 @@
 		return nil, &FormatError{node.Line, "an event is a mapping from its name to its fields"}
 	}
 	for _, e := range recordable {
-		if kebab(reflect.TypeOf(e).Name()) != node.Content[0].Value {
+		if typeName(reflect.TypeOf(e)) != node.Content[0].Value {
 			continue
 		}
 		target := reflect.New(reflect.TypeOf(e))
--- a/pkg/recorder/variant.go
+++ b/pkg/recorder/variant.go
@@ -16,7 +16,7 @@
 	}
 	for _, candidate := range reducer.Variants() {
 		t := reflect.TypeOf(candidate)
-		if kebab(t.Name()) != node.Content[0].Value || !t.Implements(v.Type()) {
+		if typeName(t) != node.Content[0].Value || !t.Implements(v.Type()) {
 			continue
 		}
 		target := reflect.New(t).Elem()
--- a/pkg/reducer/configuration.go
+++ b/pkg/reducer/configuration.go
@@ -58,6 +58,8 @@
 	// InTouch is set on a control host that is in touch with its quorum, and on any
 	// other host that has heard such a one of late.
 	InTouch bool
+	// StorageFailed is set on a control host that takes no part since its disk failed.
+	StorageFailed bool
 }
 
 func (s *State) reduceConfiguration(event ConfigurationEvent) {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -36,11 +36,12 @@
 	// policies are those in force.
 	catalog *registrar.Catalog
 	// first is the content of the customers file, for an empty registry.
-	first      registrar.Import
-	replicated replicated
-	operations operations
-	startup    startup
-	pulls      int
+	first       registrar.Import
+	replicated  replicated
+	operations  operations
+	replication replication
+	startup     startup
+	pulls       int
 	// touched is when this host last heard a control host in touch with its quorum.
 	touched identifier.Instant
 	status  ControlStatus
@@ -57,9 +58,10 @@
 		heard:    map[identifier.HostID]hostLease{},
 		policies: map[identifier.CustomerID]*configurer.Policy{},
 
-		catalog:    registrar.NewCatalog(),
-		replicated: newReplicated(),
-		operations: newOperations(),
+		catalog:     registrar.NewCatalog(),
+		replicated:  newReplicated(),
+		operations:  newOperations(),
+		replication: newReplication(),
 	}
 }
 
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -51,6 +51,7 @@
 func (s *State) Reduce(at identifier.Instant, event Event) []Effect {
 	s.now = max(s.now, at)
 	s.effects = s.effects[:0]
+	s.tickReplication()
 	switch e := event.(type) {
 	case ProcessEvent:
 		s.reduceProcess(e)
@@ -58,6 +59,8 @@
 		s.reduceMembership(e)
 	case ConfigurationEvent:
 		s.reduceConfiguration(e)
+	case ReplicationEvent:
+		s.reduceReplication(e)
 	case OperationEvent:
 		s.reduceOperation(e)
 	case QueryEvent:
@@ -67,6 +70,7 @@
 	default:
 		panic(fmt.Sprintf("reducer: event of unknown family %T", event))
 	}
+	s.settleReplication()
 	s.arm()
 	return s.effects
 }
@@ -90,6 +94,8 @@
 	switch t := t.(type) {
 	case heartbeatDue:
 		s.sendHeartbeats()
+	case replicationDue:
+		s.fireReplication(t)
 	case expiryDue:
 		s.expireMembers()
 	case startupDue:
--- a/pkg/reducer/replication.go
+++ b/pkg/reducer/replication.go
@@ -1,22 +1,229 @@
 package reducer
 
-import "github.com/lagooncleat/lagooncleat/pkg/identifier"
+import (
+	"strconv"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
+)
+
+// CompactionEntries is how many applied entries a control host keeps before it
+// replaces them by a snapshot.
+const CompactionEntries = 1024
+
+// ReplicationSubsystem logs what happens to the replicated log.
+const ReplicationSubsystem Subsystem = "replication"
+
+// ReplicationEvent is the family about the replicated log of the control hosts.
+type ReplicationEvent interface {
+	Event
+	isReplicationEvent()
+}
+
+type replicationEvent struct{}
+
+func (replicationEvent) isEvent()            {}
+func (replicationEvent) isReplicationEvent() {}
+
+// Replication events.
+type (
+	// LogRecovered gives this host the control role: its data folder was opened.
+	LogRecovered struct {
+		replicationEvent
+		// Replica is the identity of the data folder.
+		Replica identifier.ReplicaID
+		Stored  replicator.Recovered[ControlSnapshot]
+	}
+	// RecordsStored reports that all records up to the sequence are synced.
+	RecordsStored struct {
+		replicationEvent
+		Sequence replicator.WriteSequence
+	}
+	// StorageFailed reports that records could not be stored; nothing is stored from then on.
+	StorageFailed struct {
+		replicationEvent
+		Reason string
+	}
+	// ReplicaMessaged carries a message from another control host.
+	ReplicaMessaged struct {
+		replicationEvent
+		Envelope replicator.Envelope `msgpack:"e"`
+	}
+)
+
+// StoreRecords asks for records to be stored and synced, in order; RecordsStored
+// or StorageFailed follows.
+type StoreRecords struct {
+	effect
+	Sequence replicator.WriteSequence
+	Records  []replicator.Record
+}
+
+// replication is the part of control that keeps the replicated log.
+type replication struct {
+	// log is nil on a host without a data folder.
+	log *replicator.Replicator[Command, ControlSnapshot]
+	// due is the instant of the timer that counts; earlier and later ones are void.
+	due identifier.Instant
+}
+
+func newReplication() replication {
+	return replication{due: identifier.Never}
+}
+
+func (s *State) reduceReplication(event ReplicationEvent) {
+	if e, ok := event.(LogRecovered); ok {
+		s.recoverLog(e)
+		return
+	}
+	log := s.control.replication.log
+	if log == nil {
+		return
+	}
+	switch e := event.(type) {
+	case RecordsStored:
+		log.Persisted(s.now, e.Sequence)
+	case StorageFailed:
+		log.Fail(s.now)
+		s.log(ReplicationSubsystem, Error, "storage failed; this host votes no longer", Field{"reason", e.Reason})
+	case ReplicaMessaged:
+		log.Receive(s.now, e.Envelope)
+	}
+}
+
+// recoverLog starts the replicated log from what the data folder holds.
+func (s *State) recoverLog(e LogRecovered) {
+	s.control.replication.log = replicator.New[Command, ControlSnapshot](replicator.Parameters{
+		Self:  replicator.Peer{Host: s.parameters.Host, Replica: e.Replica},
+		Hosts: s.parameters.ControlHosts,
+		Seed:  s.random.Uint64(),
+		Require: func(holds bool, i replicator.Invariant, detail string) {
+			s.require(holds, Invariant(i), detail)
+		},
+	}, NoCommand{})
+	s.control.replication.log.Recover(s.now, e.Stored)
+}
+
+// tickReplication does what has fallen due before anything else is looked at, so
+// that a leader that was frozen steps down first.
+func (s *State) tickReplication() {
+	if log := s.control.replication.log; log != nil {
+		log.Tick(s.now)
+	}
+}
+
+// settleReplication acts on what follows from the inputs to the log.
+func (s *State) settleReplication() {
+	log := s.control.replication.log
+	if log == nil {
+		return
+	}
+	for s.actOn(log.Take()) {
+		if log.Uncompacted() >= CompactionEntries {
+			log.Compact(s.now, s.snapshotState())
+		}
+	}
+	if due := log.NextDue(); due < s.control.replication.due {
+		s.control.replication.due = due
+		s.schedule(due, replicationDue{due})
+	}
+}
+
+// fireReplication makes room for the next timer, unless another replaced this one.
+func (s *State) fireReplication(t replicationDue) {
+	if t.at == s.control.replication.due {
+		s.control.replication.due = identifier.Never
+	}
+}
+
+// actOn turns the output of the log into effects; it reports whether there was any.
+func (s *State) actOn(o replicator.Output) bool {
+	if len(o.Records) > 0 {
+		s.emit(StoreRecords{Sequence: o.Sequence, Records: o.Records})
+	}
+	for _, e := range o.Messages {
+		s.emit(Send{To: e.To.Host, Event: ReplicaMessaged{Envelope: e}})
+	}
+	for _, x := range o.Outcomes {
+		s.actOnOutcome(x)
+	}
+	return len(o.Records)+len(o.Messages)+len(o.Outcomes) > 0
+}
+
+func (s *State) actOnOutcome(o replicator.Outcome) {
+	switch o := o.(type) {
+	case replicator.Committed[Command]:
+		s.apply(o.Index, o.Command)
+	case replicator.Installed[ControlSnapshot]:
+		s.restoreState(o.State)
+	case replicator.ReadDone:
+		s.readConfirmed(Ticket(o.Ticket), o.Confirmed)
+	case replicator.MembersCommitted:
+		s.log(ReplicationSubsystem, Info, "membership committed", Field{"members", describe(o.Members)})
+	case replicator.LeadershipWon:
+		s.log(ReplicationSubsystem, Info, "this host leads", termField(o.Term))
+		s.leadershipWon()
+	case replicator.LeadershipLost:
+		s.log(ReplicationSubsystem, Warn, "this host leads no longer", termField(o.Term), Field{"reason", string(o.Reason)})
+		s.leadershipLost()
+	}
+}
+
+// describe lists the hosts of a membership; those of learners are in brackets.
+func describe(m replicator.Membership) string {
+	text := ""
+	for _, x := range m {
+		name := string(x.Host)
+		if !x.Voter {
+			name = "(" + name + ")"
+		}
+		if text != "" {
+			text += " "
+		}
+		text += name
+	}
+	return text
+}
+
+func termField(t identifier.Term) Field {
+	return Field{"term", strconv.FormatUint(uint64(t), 10)}
+}
 
 // propose appends a command to the replicated log when this host leads it. It
 // returns the command's index, and false, with nothing appended, when this host
 // does not lead. Every appended command ends in apply, leadershipLost, or both.
-func (s *State) propose(Command) (identifier.LogIndex, bool) {
-	return 0, false
+func (s *State) propose(c Command) (identifier.LogIndex, bool) {
+	log := s.control.replication.log
+	if log == nil {
+		return 0, false
+	}
+	return log.Propose(s.now, c)
 }
 
-// confirmRead asks a quorum whether this host still leads; readConfirmed follows,
-// at once when it does not lead.
+// confirmRead asks a quorum whether this host still leads; readConfirmed follows.
 func (s *State) confirmRead(t Ticket) {
-	s.readConfirmed(t, false)
+	log := s.control.replication.log
+	if log == nil {
+		s.readConfirmed(t, false)
+		return
+	}
+	log.Read(s.now, replicator.ReadTicket(t))
 }
 
 // leader returns the control host that leads the replicated log as far as this
-// host knows, and whether one is known. A host without the control role knows none.
+// host knows, and whether one is known: this host is then in touch with it. A
+// host without the control role knows none.
 func (s *State) leader() (identifier.HostID, bool) {
-	return "", false
+	log := s.control.replication.log
+	if log == nil || log.Failed() || !log.InTouch(s.now) {
+		return "", false
+	}
+	leader, known := log.Leader()
+	return leader.Host, known
+}
+
+// storageFailed reports whether this control host has lost its disk.
+func (s *State) storageFailed() bool {
+	log := s.control.replication.log
+	return log != nil && log.Failed()
 }
--- a/pkg/reducer/spread.go
+++ b/pkg/reducer/spread.go
@@ -207,7 +207,7 @@
 }
 
 func (s *State) controlStatus() ControlStatus {
-	status := ControlStatus{Member: s.isControlHost(s.parameters.Host)}
+	status := ControlStatus{Member: s.isControlHost(s.parameters.Host), StorageFailed: s.storageFailed()}
 	if status.Member {
 		status.Leader, status.InTouch = s.leader()
 		return status
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -15,6 +15,8 @@
 	heartbeatDue struct{}
 	// expiryDue asks control to look for lapsed leases and silent hosts.
 	expiryDue struct{}
+	// replicationDue asks control to run what is due in the replicated log.
+	replicationDue struct{ at identifier.Instant }
 	// startupDue ends a host's wait for the versions of the others.
 	startupDue struct{}
 	// pullDue asks control to ask for a newer configuration.
@@ -30,13 +32,14 @@
 	}
 )
 
-func (heartbeatDue) isTimer() {}
-func (expiryDue) isTimer()    {}
-func (startupDue) isTimer()   {}
-func (pullDue) isTimer()      {}
-func (operationDue) isTimer() {}
-func (queryDue) isTimer()     {}
-func (jobDue) isTimer()       {}
+func (heartbeatDue) isTimer()   {}
+func (expiryDue) isTimer()      {}
+func (replicationDue) isTimer() {}
+func (startupDue) isTimer()     {}
+func (pullDue) isTimer()        {}
+func (operationDue) isTimer()   {}
+func (queryDue) isTimer()       {}
+func (jobDue) isTimer()         {}
 
 type scheduled struct {
 	at    identifier.Instant
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
 )
 
 // Variants returns a value of every type that stands in a field of a sealed
@@ -40,5 +41,18 @@
 		ObjectsFound{},
 		IntentDecided{},
 		Committed{},
+		replicator.Proposal[Command]{},
+		replicator.MembershipChange{},
+		replicator.HardState{},
+		replicator.EntriesAppended{},
+		replicator.SnapshotSaved[ControlSnapshot]{},
+		replicator.Probe{},
+		replicator.PreVoteRequest{},
+		replicator.PreVoteReply{},
+		replicator.VoteRequest{},
+		replicator.VoteReply{},
+		replicator.AppendRequest{},
+		replicator.AppendReply{},
+		replicator.SnapshotRequest[ControlSnapshot]{},
 	}
 }
