internal/journaler: store the replicated log and give hosts the control role

Cause: records and effects existed, nothing stored them. Change: journaler joins encoding and storer; the executor stores on a goroutine of its own and reports each batch as an event; the settings take control.data-folder and control.hosts with checks; a data folder that can't be used stops the start. Mailboxes are generic, for the queue of the storage goroutine.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -65,7 +65,10 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	r := runner.New(settings, customers, sockets, loggers)
+	r, err := runner.New(settings, customers, sockets, loggers)
+	if err != nil {
+		return c.streams.fail(err)
+	}
 	<-stop.Done()
 	r.Shutdown()
 	return subcommands.ExitSuccess
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -145,13 +145,17 @@
 		}
 	}
 	for i, self := range peers {
-		d.Hosts = append(d.Hosts, runner.New(loader.Settings{
+		host, err := runner.New(loader.Settings{
 			Host:          self.Host,
 			Domain:        self.Domain,
 			Peers:         slices.Concat(peers[:i], peers[i+1:]),
 			TrafficStates: loader.DefaultTrafficStates,
 			Shutdown:      loader.Shutdown{TimeoutMillis: loader.DefaultShutdownTimeoutMillis},
-		}, p.Customers, sockets[i], loggers))
+		}, p.Customers, sockets[i], loggers)
+		if err != nil {
+			return err
+		}
+		d.Hosts = append(d.Hosts, host)
 	}
 	return nil
 }
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -31,6 +31,8 @@
 		h.call(e)
 	case reducer.CancelCall:
 		h.cancelCall(e.Attempt)
+	case reducer.StoreRecords:
+		h.stores.put(e)
 	case reducer.ReplyOperator:
 		h.replyOperator(e)
 	case reducer.Reply:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -59,6 +59,9 @@
 	Caller   Caller
 	Counters Counters
 	Loggers  Loggers
+	// Storage and Recovered give the host the control role; both are nil without it.
+	Storage   Storage
+	Recovered *reducer.LogRecovered
 }
 
 // Lease is the answer to an announcement.
@@ -87,6 +90,8 @@
 	calls   map[identifier.AttemptID]context.CancelFunc
 	// operators holds the operators who wait for an answer.
 	operators map[reducer.Ticket]chan reducer.ReplyOperator
+	// stores holds what the storage goroutine is to store.
+	stores *mailbox[reducer.StoreRecords]
 }
 
 // New returns a Host that has not started.
@@ -102,6 +107,7 @@
 		leases:       map[reducer.Ticket]chan Lease{},
 		calls:        map[identifier.AttemptID]context.CancelFunc{},
 		operators:    map[reducer.Ticket]chan reducer.ReplyOperator{},
+		stores:       newMailbox[reducer.StoreRecords](),
 	}
 	h.view.Store(&reducer.View{})
 	h.control = newLoop(h)
@@ -119,6 +125,10 @@
 		h.group.Go(l.run)
 	}
 	h.control.mailbox.put(reducer.HostStarted{})
+	if h.dependencies.Recovered != nil {
+		h.control.mailbox.put(*h.dependencies.Recovered)
+		h.group.Go(h.storeLoop)
+	}
 }
 
 // Stop ends all goroutines and calls. Leave comes first in a graceful shutdown.
--- a/internal/executor/loop.go
+++ b/internal/executor/loop.go
@@ -24,7 +24,7 @@
 type loop struct {
 	host    *Host
 	state   *reducer.State
-	mailbox *mailbox
+	mailbox *mailbox[reducer.Event]
 	timer   *time.Timer
 }
 
@@ -34,7 +34,7 @@
 	return &loop{
 		host:    h,
 		state:   reducer.New(h.parameters.Reducer),
-		mailbox: newMailbox(),
+		mailbox: newMailbox[reducer.Event](),
 		timer:   timer,
 	}
 }
--- a/internal/executor/mailbox.go
+++ b/internal/executor/mailbox.go
@@ -1,26 +1,22 @@
 package executor
 
-import (
-	"sync"
+import "sync"
 
-	"github.com/lagooncleat/lagooncleat/pkg/reducer"
-)
-
-// mailbox is the queue of one state's events. Senders never block, so states
+// mailbox is the queue of one goroutine, such as that of a state's events. Senders never block, so states
 // can send to each other without deadlock; admission bounds what is queued.
-type mailbox struct {
+type mailbox[T any] struct {
 	mutex  sync.Mutex
-	events []reducer.Event
+	events []T
 	closed bool
 	signal chan struct{}
 }
 
-func newMailbox() *mailbox {
-	return &mailbox{signal: make(chan struct{}, 1)}
+func newMailbox[T any]() *mailbox[T] {
+	return &mailbox[T]{signal: make(chan struct{}, 1)}
 }
 
 // put queues an event; a closed mailbox drops it.
-func (m *mailbox) put(e reducer.Event) {
+func (m *mailbox[T]) put(e T) {
 	m.mutex.Lock()
 	if !m.closed {
 		m.events = append(m.events, e)
@@ -33,7 +29,7 @@
 }
 
 // take returns all queued events and leaves the mailbox with the spare slice.
-func (m *mailbox) take(spare []reducer.Event) []reducer.Event {
+func (m *mailbox[T]) take(spare []T) []T {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	events := m.events
@@ -41,7 +37,7 @@
 	return events
 }
 
-func (m *mailbox) close() {
+func (m *mailbox[T]) close() {
 	m.mutex.Lock()
 	m.closed = true
 	m.mutex.Unlock()
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -73,6 +73,7 @@
 	d.checkAddress("listen.operators", s.Listen.Operators)
 	d.checkAddress("listen.peers", s.Listen.Peers)
 	d.checkPeers(s)
+	d.checkControl(s)
 	if s.TrafficStates < 0 {
 		d.fault("traffic-states", "must not be negative")
 	}
@@ -85,6 +86,9 @@
 	if s.Shutdown.TimeoutMillis == 0 {
 		s.Shutdown.TimeoutMillis = DefaultShutdownTimeoutMillis
 	}
+	if s.Control.DataFolder != "" && !filepath.IsAbs(s.Control.DataFolder) {
+		s.Control.DataFolder = filepath.Join(filepath.Dir(file), s.Control.DataFolder)
+	}
 	if !filepath.IsAbs(s.Customers) {
 		s.Customers = filepath.Join(filepath.Dir(file), s.Customers)
 	}
@@ -105,6 +109,32 @@
 	}
 }
 
+// checkControl checks that the control hosts are hosts that the file names, and
+// that this host has a data folder if it is one of them, and only then.
+func (d *document) checkControl(s Settings) {
+	known := map[identifier.HostID]bool{s.Host: true}
+	for _, p := range s.Peers {
+		known[p.Host] = true
+	}
+	seen := map[identifier.HostID]bool{}
+	for i, h := range s.Control.Hosts {
+		field := fmt.Sprintf("control.hosts[%d]", i)
+		if !known[h] {
+			d.fault(field, "is neither this host nor one of its peers")
+		}
+		if seen[h] {
+			d.fault(field, "names a host twice")
+		}
+		seen[h] = true
+	}
+	if seen[s.Host] && s.Control.DataFolder == "" {
+		d.fault("control.data-folder", "must be set on a control host")
+	}
+	if !seen[s.Host] && s.Control.DataFolder != "" {
+		d.fault("control.data-folder", "is set but control.hosts does not name this host")
+	}
+}
+
 // LoadCustomers reads and checks templates and customers. It returns a
 // *FaultsError when the file can be read but breaks a rule.
 func LoadCustomers(file string) (CustomersFile, error) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -30,6 +30,8 @@
 	Peers []Peer `yaml:"peers"`
 	// Customers is the file of the first templates and customers, relative to the settings file.
 	Customers string `yaml:"customers"`
+	// Control names the control hosts and gives this host the control role.
+	Control Control `yaml:"control"`
 	// TrafficStates is how many goroutines reduce traffic; 0 takes the default of 2.
 	TrafficStates int `yaml:"traffic-states"`
 	// Logs sets what is logged.
@@ -50,6 +52,15 @@
 	Peers identifier.Address `yaml:"peers"`
 }
 
+// Control names the hosts that keep the replicated log.
+type Control struct {
+	// DataFolder gives this host the control role; it is relative to the settings file.
+	DataFolder string `yaml:"data-folder"`
+	// Hosts are the control hosts, the same list on every host; without any, the
+	// templates and customers come from the customers file alone.
+	Hosts []identifier.HostID `yaml:"hosts"`
+}
+
 // Peer is another entry host.
 type Peer struct {
 	// Host is the peer's id.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,7 +6,10 @@
 //	if err != nil {
 //		return err
 //	}
-//	r := runner.New(settings, customers, sockets, loggers)
+//	r, err := runner.New(settings, customers, sockets, loggers)
+//	if err != nil {
+//		return err
+//	}
 //	<-stop
 //	r.Shutdown()
 package runner
@@ -25,6 +28,7 @@
 
 	"github.com/lagooncleat/lagooncleat/internal/caller"
 	"github.com/lagooncleat/lagooncleat/internal/executor"
+	"github.com/lagooncleat/lagooncleat/internal/journaler"
 	"github.com/lagooncleat/lagooncleat/internal/listener"
 	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/logger"
@@ -51,6 +55,7 @@
 	caller    *caller.Caller
 	servers   []*http.Server
 	sockets   Sockets
+	journal   *journaler.Journaler
 	group     sync.WaitGroup
 	stopping  atomic.Bool
 }
@@ -76,9 +81,7 @@
 	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers} {
 		socket, err := net.Listen("tcp", string(address))
 		if err != nil {
-			for _, open := range sockets[:i] {
-				open.Close()
-			}
+			sockets.close()
 			return Sockets{}, fmt.Errorf("listen: %w", err)
 		}
 		sockets[i] = socket
@@ -86,20 +89,37 @@
 	return sockets, nil
 }
 
+// close closes the listeners that are open.
+func (s Sockets) close() {
+	for _, open := range s {
+		if open != nil {
+			open.Close()
+		}
+	}
+}
+
 // Address returns where the listener listens.
 func (s Sockets) Address(l ListenerIndex) identifier.Address {
 	return identifier.Address(s[l].Addr().String())
 }
 
 // New starts an entry host on the open sockets, which it closes when it stops.
-func New(s loader.Settings, c loader.CustomersFile, sockets Sockets, loggers *logger.Set) *Runner {
+// When the data folder of a control host can't be used, it closes them and returns the error.
+func New(s loader.Settings, c loader.CustomersFile, sockets Sockets, loggers *logger.Set) (*Runner, error) {
 	r := &Runner{settings: s, sockets: sockets, logger: loggers.Logger(runnerSubsystem), caller: caller.New()}
 	counters := meter.New()
+	dependencies := executor.Dependencies{Caller: r.caller, Counters: counters, Loggers: loggers}
+	if err := r.openJournal(&dependencies); err != nil {
+		sockets.close()
+		return nil, err
+	}
 	r.host = executor.New(executor.Parameters{
-		Reducer:       reducer.Parameters{Host: s.Host, Domain: s.Domain, Peers: peerHosts(s)},
+		Reducer: reducer.Parameters{
+			Host: s.Host, Domain: s.Domain, Peers: peerHosts(s), ControlHosts: s.Control.Hosts,
+		},
 		TrafficStates: s.TrafficStates,
 		Seed:          uint64(time.Now().UnixNano()),
-	}, executor.Dependencies{Caller: r.caller, Counters: counters, Loggers: loggers})
+	}, dependencies)
 	r.messenger = messenger.New(messenger.Parameters{Host: s.Host, Peers: peerAddresses(s)},
 		r.host.Deliver, loggers.Logger(messengerSubsystem))
 	r.host.Start(r.messenger)
@@ -116,7 +136,7 @@
 		}
 	})
 	r.logger.Info("entry host started", "host", s.Host, "failure-domain", s.Domain)
-	return r
+	return r, nil
 }
 
 func peerHosts(s loader.Settings) []router.Host {
@@ -183,6 +203,7 @@
 	r.sockets[Peers].Close()
 	r.messenger.Close()
 	r.host.Stop()
+	r.closeJournal()
 	r.caller.Close()
 	r.group.Wait()
 }
--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -80,6 +80,21 @@
 		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(3)))
 	})
 
+	ginkgo.It("counts its own entries only when they are synced", func() {
+		s := newSingle()
+		s.elect()
+		s.receive(2, 4, replicator.AppendReply{Match: 3})
+		s.node.Propose(s.now, 6)
+		output := s.node.Take()
+		reply := replicator.Envelope{
+			Group: 1, From: trio[1].Peer, To: trio[0].Peer, Term: 4, Message: replicator.AppendReply{Match: 4},
+		}
+		s.node.Receive(s.now, reply)
+		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(3)))
+		s.node.Persisted(s.now, output.Sequence)
+		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(4)))
+	})
+
 	ginkgo.It("confirms a read only by a round that began after it", func() {
 		s := newSingle()
 		s.elect()
