--- a/pkg/reducer/replication.go
+++ b/pkg/reducer/replication.go
@@ -71,6 +71,14 @@
 	return replication{due: identifier.Never}
 }
 
+// members returns the membership in use, or nil without the control role.
+func (r *replication) members() replicator.Membership {
+	if r.log == nil {
+		return nil
+	}
+	return r.log.Members()
+}
+
 func (s *State) reduceReplication(event ReplicationEvent) {
 	if e, ok := event.(LogRecovered); ok {
 		s.recoverLog(e)
@@ -160,6 +168,7 @@
 		s.readConfirmed(Ticket(o.Ticket), o.Confirmed)
 	case replicator.MembersCommitted:
 		s.log(ReplicationSubsystem, Info, "membership committed", Field{"members", describe(o.Members)})
+		s.publish()
 	case replicator.LeadershipWon:
 		s.log(ReplicationSubsystem, Info, "this host leads", termField(o.Term))
 		s.leadershipWon()
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -4,6 +4,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -16,6 +17,8 @@
 	Servers       map[identifier.ServerID]*Server
 	ByService     map[identifier.ServiceID][]leaser.Announcement
 	Hosts         []router.Host
+	// ControlMembers are the members of the replicated log, known on control hosts only.
+	ControlMembers replicator.Membership
 	// Control is what this host knows of the replicated log.
 	Control ControlStatus
 }
@@ -29,12 +32,13 @@
 // newView joins the leases, the live hosts and the policies.
 func newView(c *control) *View {
 	v := &View{
-		Configuration: c.version,
-		Policies:      c.policies,
-		Servers:       map[identifier.ServerID]*Server{},
-		ByService:     map[identifier.ServiceID][]leaser.Announcement{},
-		Hosts:         c.liveHosts(),
-		Control:       c.status,
+		Configuration:  c.version,
+		Policies:       c.policies,
+		Servers:        map[identifier.ServerID]*Server{},
+		ByService:      map[identifier.ServiceID][]leaser.Announcement{},
+		Hosts:          c.liveHosts(),
+		Control:        c.status,
+		ControlMembers: c.replication.members(),
 	}
 	for _, a := range c.leases.Announcements() {
 		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
