--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -4,6 +4,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -19,6 +20,8 @@
 	Hosts []router.Host
 	// Leaving are the hosts that own no servers any more but finish what is in flight.
 	Leaving []identifier.HostID
+	// ControlMembers are the members of the replicated log, known on control hosts only.
+	ControlMembers replicator.Membership
 	// Control is what this host knows of the replicated log.
 	Control ControlStatus
 }
@@ -41,6 +44,7 @@
 		Hosts:         c.liveHosts(),
 		Leaving:       c.leavingHosts(),
 		Control:       c.status,
+		ControlMembers: c.replication.members(),
 	}
 	for _, a := range c.leases.Announcements() {
 		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
