--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -155,6 +155,12 @@
 		gomega.Expect(output.Outcomes).To(gomega.ConsistOf(replicator.Committed[int]{Index: 3, Command: 6}))
 	})
 
+	ginkgo.It("commits no further than its log is known to equal the leader's", func() {
+		s := newSingle()
+		s.receive(2, 3, replicator.AppendRequest{Previous: 1, PreviousTerm: 1, Commit: 2})
+		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(1)))
+	})
+
 	ginkgo.It("is silent once its storage has failed", func() {
 		s := newSingle()
 		s.elect()
