internal/commander: add, remove and replace control hosts

Cause: operators must be able to change which hosts keep the log. Change: control-member over two idempotent operations on the leader, answered once committed; a refusal says why and exits with 3. Temporary refusals are tried again until the deadline.

--- a/cmd/lagooncleat/control_test.go
+++ b/cmd/lagooncleat/control_test.go
@@ -16,7 +16,8 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
-// group is three control hosts in processes of their own.
+// group is control hosts in processes of their own: three, and one to spare
+// that is no member at first.
 type group struct {
 	*deployment
 	files   []string
@@ -27,12 +28,12 @@
 	turn    int
 }
 
-func newGroup(number int) *group {
+func newGroup(number, spare int) *group {
 	g := &group{deployment: newDeployment(number)}
 	g.write("customers.yaml", deskCustomers())
-	g.hosts = g.settings(3)
+	g.hosts = g.settings(3 + spare)
 	for i := range g.hosts {
-		for _, h := range g.hosts {
+		for _, h := range g.hosts[:max(3, i+1)] {
 			g.hosts[i].Control.Hosts = append(g.hosts[i].Control.Hosts, h.Host)
 		}
 		g.hosts[i].Control.DataFolder = "data-" + string(g.hosts[i].Host)
@@ -178,7 +179,7 @@
 
 var _ = ginkgo.Describe("control hosts", func() {
 	ginkgo.It("lose no accepted change when the leader is killed, again and again", func() {
-		g := newGroup(21)
+		g := newGroup(21, 0)
 		g.change(10)
 		for range 3 {
 			killed := g.leader()
@@ -191,7 +192,7 @@
 	})
 
 	ginkgo.It("survive a second kill right after a disk was replaced", func() {
-		g := newGroup(22)
+		g := newGroup(22, 0)
 		g.change(20)
 		leading := g.leader()
 		wiped := (leading + 1) % 3
@@ -205,7 +206,7 @@
 	})
 
 	ginkgo.It("are not misled by a leader that was frozen", func() {
-		g := newGroup(23)
+		g := newGroup(23, 0)
 		g.change(5)
 		frozen := g.leader()
 		g.running[frozen].Signal(syscall.SIGSTOP)
@@ -226,8 +227,29 @@
 		g.inForce()
 	})
 
+	ginkgo.It("are replaced one by one by the operator's command", func() {
+		g := newGroup(25, 1)
+		g.change(5)
+		run := func(arguments ...string) *gexec.Session {
+			hosts := fmt.Sprintf("%s,%s", g.hosts[1].Listen.Operators, g.hosts[3].Listen.Operators)
+			session := g.start(program, append([]string{"control-member", "--hosts", hosts}, arguments...)...)
+			gomega.Eventually(session, patience).Should(gexec.Exit())
+			return session
+		}
+		refused := run("add", "nobody")
+		gomega.Expect(refused.ExitCode()).To(gomega.Equal(3))
+		gomega.Expect(string(refused.Err.Contents())).To(gomega.ContainSubstring("has not asked to join"))
+		replaced := run("replace", "h-3", "h-4")
+		gomega.Expect(replaced.ExitCode()).To(gomega.Equal(0), string(replaced.Err.Contents()))
+		gomega.Expect(string(replaced.Out.Contents())).To(gomega.MatchRegexp(`(?s)^h-1\tvoter.*h-2\tvoter.*h-4\tvoter.*`))
+		again := run("replace", "h-3", "h-4")
+		gomega.Expect(again.ExitCode()).To(gomega.Equal(0), string(again.Err.Contents()))
+		g.kill(0)
+		g.change(5)
+	})
+
 	ginkgo.It("stop when their data folder is damaged, and name the place", func() {
-		g := newGroup(24)
+		g := newGroup(24, 0)
 		g.change(3)
 		g.kill(0)
 		segment := g.folder + "/" + g.hosts[0].Control.DataFolder + "/segment-0000000000000001"
--- a/cmd/lagooncleat/main.go
+++ b/cmd/lagooncleat/main.go
@@ -4,6 +4,7 @@
 //
 //	lagooncleat demo --once
 //	lagooncleat serve --settings FILE
+//	lagooncleat control-member replace OLD NEW
 //	lagooncleat help
 package main
 
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -33,6 +33,7 @@
 	c.Register(&demoCommand{streams: s}, "run")
 	c.Register(&checkCommand{streams: s}, "operate")
 	c.Register(&applyCommand{streams: s}, "operate")
+	c.Register(&memberCommand{streams: s}, "operate")
 	c.Register(&getCommand{streams: s}, "operate")
 	c.Register(&historyCommand{streams: s}, "operate")
 	c.Register(&rollbackCommand{streams: s}, "operate")
--- a/internal/listener/configuration.go
+++ b/internal/listener/configuration.go
@@ -15,9 +15,10 @@
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 )
 
-// Operations changes and reads templates and customers; the executor's Host does.
+// Operations changes and reads templates and customers, and changes the control hosts; the executor's Host does.
 type Operations interface {
 	Change(ctx context.Context, c registrar.Change) (reducer.ReplyOperator, error)
+	ChangeMembers(ctx context.Context, o reducer.Operation) (reducer.ReplyOperator, error)
 	Read(ctx context.Context, read reducer.ObjectsRead) (reducer.ReplyOperator, error)
 }
 
@@ -55,6 +56,7 @@
 	}
 	mux.HandleFunc("PUT /v1/templates/{id}", c.putTemplate)
 	mux.HandleFunc("PUT /v1/customers/{id}", c.putCustomer)
+	c.registerMembers(mux)
 }
 
 func (c *configuration) putTemplate(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/listener/members.go
@@ -0,0 +1,57 @@
+package listener
+
+import (
+	"net/http"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
+)
+
+// member is a member of the replicated log, as replies show it.
+type member struct {
+	Host    identifier.HostID    `json:"host"`
+	Replica identifier.ReplicaID `json:"replica"`
+	Voter   bool                 `json:"voter"`
+}
+
+func membersOf(m replicator.Membership) []member {
+	members := make([]member, 0, len(m))
+	for _, x := range m {
+		members = append(members, member{x.Host, x.Replica, x.Voter})
+	}
+	return members
+}
+
+// registerMembers adds the paths of the control hosts.
+func (c *configuration) registerMembers(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /v1/control-members/{host}", func(w http.ResponseWriter, r *http.Request) {
+		c.changeMembers(w, r, reducer.AddMember{Host: identifier.HostID(r.PathValue("host"))})
+	})
+	mux.HandleFunc("DELETE /v1/control-members/{host}", func(w http.ResponseWriter, r *http.Request) {
+		c.changeMembers(w, r, reducer.RemoveMember{Host: identifier.HostID(r.PathValue("host"))})
+	})
+}
+
+func (c *configuration) changeMembers(w http.ResponseWriter, r *http.Request, o reducer.Operation) {
+	reply, err := c.operations.ChangeMembers(r.Context(), o)
+	if err != nil {
+		writeFailure(w, "", reducer.Failed{Kind: stopping, Ran: reducer.RanMaybe, Message: err.Error()})
+		return
+	}
+	status, result := http.StatusOK, "done"
+	decided, ok := reply.Reply.(reducer.MembersDecided)
+	switch {
+	case !ok:
+		status, result = http.StatusGatewayTimeout, "unknown"
+		decided.Refusal = "the change was not committed in time; it may be later, and sending it again is safe"
+	case decided.Refusal != "":
+		status, result = http.StatusConflict, "refused"
+	}
+	writeJSON(w, status, struct {
+		Result  string   `json:"result"`
+		Reason  string   `json:"reason,omitempty"`
+		Members []member `json:"control-members"`
+		Control control  `json:"control"`
+	}{result, decided.Refusal, membersOf(decided.Members), controlOf(c.host, reply.Control)})
+}
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -63,11 +63,6 @@
 		Owner   identifier.HostID    `json:"owner"`
 		Load    int                  `json:"load"`
 	}
-	type member struct {
-		Host    identifier.HostID    `json:"host"`
-		Replica identifier.ReplicaID `json:"replica"`
-		Voter   bool                 `json:"voter"`
-	}
 	v := o.views.View()
 	servers := []server{}
 	for _, list := range v.ByService {
@@ -75,10 +70,6 @@
 			servers = append(servers, server{a.Server, a.Service, a.Domain, v.Servers[a.Server].Owner, a.Load})
 		}
 	}
-	members := []member{}
-	for _, x := range v.ControlMembers {
-		members = append(members, member{x.Host, x.Replica, x.Voter})
-	}
 	hosts := []identifier.HostID{}
 	for _, h := range v.Hosts {
 		hosts = append(hosts, h.ID)
@@ -91,5 +82,5 @@
 		Members       []member            `json:"control-members"`
 		Hosts         []identifier.HostID `json:"hosts"`
 		Servers       []server            `json:"servers"`
-	}{o.host, o.ready(), v.Configuration, controlOf(o.host, v.Control), members, hosts, servers})
+	}{o.host, o.ready(), v.Configuration, controlOf(o.host, v.Control), membersOf(v.ControlMembers), hosts, servers})
 }
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -42,6 +42,7 @@
 	reducer.OperationRedirected{},
 	reducer.OperationAnswered{},
 	reducer.IntentAnswered{},
+	reducer.MembersRequested{},
 	reducer.LogRecovered{},
 	reducer.RecordsStored{},
 	reducer.StorageFailed{},
--- /dev/null
+++ b/pkg/reducer/member.go
@@ -0,0 +1,78 @@
+package reducer
+
+import (
+	"errors"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
+)
+
+// MemberTimeout is how long a change of the control hosts may take.
+const MemberTimeout = 15 * identifier.Second
+
+// Operations on the membership of the replicated log. Both are idempotent.
+type (
+	// AddMember asks for a host to become a voter.
+	AddMember struct {
+		Host identifier.HostID `msgpack:"h"`
+	}
+	// RemoveMember asks for a host to be no member.
+	RemoveMember struct {
+		Host identifier.HostID `msgpack:"h"`
+	}
+)
+
+func (AddMember) isOperation()    {}
+func (RemoveMember) isOperation() {}
+
+// MembersDecided answers an operation on the membership.
+type MembersDecided struct {
+	// Members is the committed membership.
+	Members replicator.Membership `msgpack:"m"`
+	// Refusal says why nothing was changed; it is empty when the operation is done.
+	Refusal string `msgpack:"r"`
+}
+
+func (MembersDecided) isAnswer() {}
+
+// MembersRequested is an operator's change of the control hosts: an AddMember or a RemoveMember.
+type MembersRequested struct {
+	operationEvent
+	Ticket    Ticket
+	Operation Operation
+}
+
+// receiveMemberOperation takes the next step towards the wanted membership, and
+// answers once it is committed. The host that asks tries again until then.
+func (s *State) receiveMemberOperation(w waiter, o Operation) {
+	log := s.control.replication.log
+	var err error
+	done := false
+	switch o := o.(type) {
+	case AddMember:
+		if done = hasVoter(log.CommittedMembers(), o.Host); !done && !log.Members().HasHost(o.Host) {
+			err = log.AddMember(s.now, o.Host)
+		}
+	case RemoveMember:
+		if done = !log.CommittedMembers().HasHost(o.Host); !done && log.Members().HasHost(o.Host) {
+			err = log.RemoveMember(s.now, o.Host)
+		}
+	}
+	var refused *replicator.MemberError
+	if errors.As(err, &refused) && !refused.Temporary {
+		s.answer(w, MembersDecided{Members: log.CommittedMembers(), Refusal: refused.Reason})
+		return
+	}
+	if done {
+		s.answer(w, MembersDecided{Members: log.CommittedMembers()})
+	}
+}
+
+func hasVoter(m replicator.Membership, h identifier.HostID) bool {
+	for _, x := range m {
+		if x.Host == h && x.Voter {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -184,6 +184,8 @@
 		s.followRedirect(e)
 	case OperationAnswered:
 		s.endOperation(e)
+	case MembersRequested:
+		s.operate(e.Operation, operatorOrigin{e.Ticket}, s.now.Add(MemberTimeout))
 	case IntentRequested:
 		s.operate(Proposal{Command: IntentRecorded{Intent: e.Intent}}, queryOrigin{e.Intent.Request}, e.Deadline)
 	case IntentReturned:
@@ -274,6 +276,8 @@
 	switch o := o.(type) {
 	case Proposal:
 		s.receiveProposal(w, o)
+	case AddMember, RemoveMember:
+		s.receiveMemberOperation(w, o)
 	case ObjectsRead:
 		s.control.operations.ticket++
 		ticket := s.control.operations.ticket
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -54,5 +54,8 @@
 		replicator.AppendRequest{},
 		replicator.AppendReply{},
 		replicator.SnapshotRequest[ControlSnapshot]{},
+		AddMember{},
+		RemoveMember{},
+		MembersDecided{},
 	}
 }
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -170,6 +170,8 @@
 type MemberError struct {
 	Host   identifier.HostID
 	Reason string
+	// Temporary is set when the change may be begun later, without anybody's doing.
+	Temporary bool
 }
 
 // Error names the host and says why.
@@ -185,10 +187,10 @@
 	}
 	p, ok := r.probes.heard[host]
 	if !ok || r.now.Since(p.at) >= probeLife {
-		return &MemberError{host, "the host has not asked to join of late"}
+		return &MemberError{Host: host, Reason: "the host has not asked to join of late"}
 	}
 	if r.Members().HasHost(host) {
-		return &MemberError{host, "the host is a member"}
+		return &MemberError{Host: host, Reason: "the host is a member"}
 	}
 	r.change(r.Members().with(Member{Peer: p.peer}))
 	return nil
@@ -204,24 +206,24 @@
 			continue
 		}
 		if x.Voter && r.Members().Voters() == 1 {
-			return &MemberError{host, "the host is the only voter"}
+			return &MemberError{Host: host, Reason: "the host is the only voter"}
 		}
 		remaining := r.Members().without(x.Replica)
 		if !r.inTouch(remaining) {
-			return &MemberError{host, "the remaining voters in touch are no quorum"}
+			return &MemberError{Host: host, Reason: "the remaining voters in touch are no quorum"}
 		}
 		r.change(remaining)
 		return nil
 	}
-	return &MemberError{host, "the host is no member"}
+	return &MemberError{Host: host, Reason: "the host is no member"}
 }
 
 func (r *Replicator[C, S]) checkChange(now identifier.Instant, host identifier.HostID) error {
 	if !r.begin(now) || r.role != leader {
-		return &MemberError{host, "this host does not lead"}
+		return &MemberError{Host: host, Reason: "this host does not lead", Temporary: true}
 	}
 	if !r.mayChange() {
-		return &MemberError{host, "another change is under way"}
+		return &MemberError{Host: host, Reason: "another change is under way", Temporary: true}
 	}
 	return nil
 }
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -235,6 +235,9 @@
 // Members returns the membership in use.
 func (r *Replicator[C, S]) Members() Membership { return r.members.latest().members }
 
+// CommittedMembers returns the membership as far as it is known to be final.
+func (r *Replicator[C, S]) CommittedMembers() Membership { return r.members.at(r.commit) }
+
 // InTouch reports whether this replica leads, or has heard from the leader
 // within two election timeouts before the instant.
 func (r *Replicator[C, S]) InTouch(now identifier.Instant) bool {
