--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -37,6 +37,9 @@
 	c.Register(&getCommand{streams: s}, "operate")
 	c.Register(&historyCommand{streams: s}, "operate")
 	c.Register(&rollbackCommand{streams: s}, "operate")
+	c.Register(&reportCommand{streams: s}, "operate")
+	c.Register(&statusCommand{streams: s}, "operate")
+	c.Register(&loadCommand{streams: s}, "measure")
 }
 
 // fail prints an error and returns the exit status of a failure.
--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -108,19 +108,19 @@
 	return "present"
 }
 
-// NoAnswerError reports that no entry host gave a final answer in time.
-type NoAnswerError struct {
+// UnansweredError reports that no entry host gave a final answer in time.
+type UnansweredError struct {
 	Hosts string
 	Last  error
 }
 
 // Error names the hosts and the last reason.
-func (e *NoAnswerError) Error() string {
+func (e *UnansweredError) Error() string {
 	return fmt.Sprintf("no final answer from %s; a change may have been accepted, and sending it again is safe: %v", e.Hosts, e.Last)
 }
 
 // Unwrap returns the last reason.
-func (e *NoAnswerError) Unwrap() error { return e.Last }
+func (e *UnansweredError) Unwrap() error { return e.Last }
 
 var errUnknownOutcome = errors.New("the outcome is unknown to the entry host")
 
@@ -145,7 +145,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return operatorReply{}, &NoAnswerError{Hosts: o.hosts, Last: last}
+			return operatorReply{}, &UnansweredError{Hosts: o.hosts, Last: last}
 		case <-time.After(operatorPause):
 		}
 	}
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -29,6 +29,7 @@
 	reducer.AttemptServed{},
 	reducer.AttemptRefused{},
 	reducer.AttemptLost{},
+	reducer.QueuesEstimated{},
 	reducer.ConfigurationWanted{},
 	reducer.RevisionsSent{},
 	reducer.ContentsSent{},
@@ -83,8 +84,22 @@
 		return nil, &UnknownEventError{Detail: "no tag, or one of another version"}
 	}
 	target := reflect.New(reflect.TypeOf(tagged[data[0]]))
-	if err := msgpack.Unmarshal(data[1:], target.Interface()); err != nil {
+	if err := checkBounds(data[1:]); err != nil {
+		return nil, err
+	}
+	if err := unmarshal(data[1:], target.Interface()); err != nil {
 		return nil, fmt.Errorf("encoder: decode %T: %w", tagged[data[0]], err)
 	}
 	return target.Elem().Interface().(reducer.Event), nil
 }
+
+// unmarshal decodes one value. The library panics when a variant stands in the
+// field of an interface that it does not implement; that is an error here.
+func unmarshal(data []byte, target any) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = &UnknownEventError{Detail: fmt.Sprintf("a variant stands in the wrong field: %v", fault)}
+		}
+	}()
+	return msgpack.Unmarshal(data, target)
+}
--- a/pkg/reducer/configuration_test.go
+++ b/pkg/reducer/configuration_test.go
@@ -168,6 +168,7 @@
 		input{20 * ms, reducer.AttemptRefused{Attempt: identifier.AttemptID{Request: "q", Sequence: 1}}},
 		input{21 * ms, reducer.AttemptRefused{Attempt: identifier.AttemptID{Request: "q", Sequence: 2}}},
 		input{22 * ms, reducer.AttemptRefused{Attempt: identifier.AttemptID{Request: "q", Sequence: 3}}},
+		input{23 * ms, reducer.AttemptRefused{Attempt: identifier.AttemptID{Request: "q", Sequence: 4}}},
 	)},
 }
 
--- a/pkg/reducer/member.go
+++ b/pkg/reducer/member.go
@@ -60,11 +60,11 @@
 	}
 	var refused *replicator.MemberError
 	if errors.As(err, &refused) && !refused.Temporary {
-		s.answer(w, MembersDecided{Members: log.CommittedMembers(), Refusal: refused.Reason})
+		s.answerOperation(w, MembersDecided{Members: log.CommittedMembers(), Refusal: refused.Reason})
 		return
 	}
 	if done {
-		s.answer(w, MembersDecided{Members: log.CommittedMembers()})
+		s.answerOperation(w, MembersDecided{Members: log.CommittedMembers()})
 	}
 }
 
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -16,9 +16,12 @@
 	Policies      map[identifier.CustomerID]*configurer.Policy
 	Servers       map[identifier.ServerID]*Server
 	ByService     map[identifier.ServiceID][]leaser.Announcement
-	Hosts         []router.Host
 	// ControlMembers are the members of the replicated log, known on control hosts only.
 	ControlMembers replicator.Membership
+	// Hosts are the live entry hosts, which own the servers.
+	Hosts []router.Host
+	// Leaving are the hosts that own no servers any more but finish what is in flight.
+	Leaving []identifier.HostID
 	// Control is what this host knows of the replicated log.
 	Control ControlStatus
 }
@@ -27,22 +30,25 @@
 type Server struct {
 	leaser.Announcement
 	Owner identifier.HostID
+	// Expires is when the lease lapses by what was known at publication.
+	Expires identifier.Instant
 }
 
 // newView joins the leases, the live hosts and the policies.
 func newView(c *control) *View {
 	v := &View{
+		ControlMembers: c.replication.members(),
 		Configuration:  c.version,
 		Policies:       c.policies,
 		Servers:        map[identifier.ServerID]*Server{},
 		ByService:      map[identifier.ServiceID][]leaser.Announcement{},
 		Hosts:          c.liveHosts(),
+		Leaving:        c.leavingHosts(),
 		Control:        c.status,
-		ControlMembers: c.replication.members(),
 	}
 	for _, a := range c.leases.Announcements() {
 		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
-		v.Servers[a.Server] = &Server{Announcement: a, Owner: owner}
+		v.Servers[a.Server] = &Server{Announcement: a, Owner: owner, Expires: c.leases.Expiry(a.Server)}
 		v.ByService[a.Service] = append(v.ByService[a.Service], a)
 	}
 	return v
