internal/executor: let a mailbox own both of its buffers

Cause: after 500 changes a killed control host refused to start: entry 103 was stored after entry 101. The storage goroutine, woken without work, kept a buffer that the mailbox already had, so a record could be overwritten before it was stored, and was still reported as synced. Ruled out: the storer and the replicator; the gap check found it as it should. Change: take returns a slice that is valid until the next call; nothing is handed back. The other loops always handed back what they took and were not hit.

--- a/internal/executor/loop.go
+++ b/internal/executor/loop.go
@@ -42,7 +42,6 @@
 // run blocks on the mailbox and the timer until the host stops.
 func (l *loop) run() {
 	defer l.mailbox.close()
-	var spare []reducer.Event
 	for {
 		select {
 		case <-l.host.context.Done():
@@ -50,12 +49,9 @@
 		case <-l.timer.C:
 			l.reduce(reducer.Woken{})
 		case <-l.mailbox.signal:
-			events := l.mailbox.take(spare)
-			for i, e := range events {
+			for _, e := range l.mailbox.take() {
 				l.reduce(e)
-				events[i] = nil
 			}
-			spare = events
 		}
 	}
 }
--- a/internal/executor/mailbox.go
+++ b/internal/executor/mailbox.go
@@ -2,11 +2,14 @@
 
 import "sync"
 
-// mailbox is the queue of one goroutine, such as that of a state's events. Senders never block, so states
-// can send to each other without deadlock; admission bounds what is queued.
+// mailbox is the queue of one goroutine, such as that of a state's events.
+// Senders never block, so states can send to each other without deadlock;
+// admission bounds what is queued.
 type mailbox[T any] struct {
 	mutex  sync.Mutex
 	events []T
+	// taken is the slice that the last take returned; the next one reuses it.
+	taken  []T
 	closed bool
 	signal chan struct{}
 }
@@ -28,13 +31,13 @@
 	}
 }
 
-// take returns all queued events and leaves the mailbox with the spare slice.
-func (m *mailbox[T]) take(spare []T) []T {
+// take returns all queued events, or none. The slice is valid until the next call.
+func (m *mailbox[T]) take() []T {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	events := m.events
-	m.events = spare[:0]
-	return events
+	clear(m.taken)
+	m.events, m.taken = m.taken[:0], m.events
+	return m.taken
 }
 
 func (m *mailbox[T]) close() {
--- a/internal/executor/storage.go
+++ b/internal/executor/storage.go
@@ -16,14 +16,13 @@
 // with the next.
 func (h *Host) storeLoop() {
 	defer h.stores.close()
-	var spare []reducer.StoreRecords
 	for {
 		select {
 		case <-h.context.Done():
 			return
 		case <-h.stores.signal:
 		}
-		batch := h.stores.take(spare)
+		batch := h.stores.take()
 		if len(batch) == 0 {
 			continue
 		}
@@ -36,7 +35,5 @@
 			return
 		}
 		h.Deliver(reducer.RecordsStored{Sequence: batch[len(batch)-1].Sequence})
-		clear(batch)
-		spare = batch
 	}
 }
