--- a/cmd/lagooncleat/configuration_test.go
+++ b/cmd/lagooncleat/configuration_test.go
@@ -29,7 +29,7 @@
 type mixed struct{ *group }
 
 func newMixed(number int) *mixed {
-	m := &mixed{newGroupWith(number, 1)}
+	m := &mixed{newMixedGroup(number, 0, 1)}
 	for i := range m.hosts {
 		m.awaitReady(i)
 	}
--- a/cmd/lagooncleat/control_test.go
+++ b/cmd/lagooncleat/control_test.go
@@ -16,7 +16,8 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
-// group is three control hosts, and perhaps other entry hosts, in processes of their own.
+// group is control hosts in processes of their own: three, and one to spare
+// that is no member at first, and perhaps entry hosts without a disk.
 type group struct {
 	*deployment
 	files   []string
@@ -27,25 +28,27 @@
 	turn    int
 }
 
-func newGroup(number int) *group {
-	return newGroupWith(number, 0)
-}
-
-// controlCount is how many control hosts a group has.
+// controlCount is how many members a group begins with.
 const controlCount = 3
 
-// newGroupWith starts three control hosts and so many entry hosts without a disk.
-func newGroupWith(number, plain int) *group {
+func newGroup(number, spare int) *group {
+	return newMixedGroup(number, spare, 0)
+}
+
+// newMixedGroup adds so many entry hosts without a disk.
+func newMixedGroup(number, spare, plain int) *group {
 	g := &group{deployment: newDeployment(number)}
 	g.write("customers.yaml", deskCustomers())
-	g.hosts = g.settings(controlCount + plain)
+	g.hosts = g.settings(controlCount + spare + plain)
 	for i := range g.hosts {
-		for _, h := range g.hosts[:controlCount] {
-			g.hosts[i].Control.Hosts = append(g.hosts[i].Control.Hosts, h.Host)
-		}
-		if i < controlCount {
+		known := controlCount
+		if i < controlCount+spare {
+			known = max(known, i+1)
 			g.hosts[i].Control.DataFolder = "data-" + string(g.hosts[i].Host)
 		}
+		for _, h := range g.hosts[:known] {
+			g.hosts[i].Control.Hosts = append(g.hosts[i].Control.Hosts, h.Host)
+		}
 		g.files = append(g.files, g.write(string(g.hosts[i].Host)+".yaml", g.hosts[i]))
 		g.running = append(g.running, g.start(program, "serve", "--settings", g.files[i]))
 	}
@@ -188,7 +191,7 @@
 
 var _ = ginkgo.Describe("control hosts", func() {
 	ginkgo.It("lose no accepted change when the leader is killed, again and again", func() {
-		g := newGroup(21)
+		g := newGroup(21, 0)
 		g.change(10)
 		for range 3 {
 			killed := g.leader()
@@ -201,7 +204,7 @@
 	})
 
 	ginkgo.It("survive a second kill right after a disk was replaced", func() {
-		g := newGroup(22)
+		g := newGroup(22, 0)
 		g.change(20)
 		leading := g.leader()
 		wiped := (leading + 1) % 3
@@ -215,7 +218,7 @@
 	})
 
 	ginkgo.It("are not misled by a leader that was frozen", func() {
-		g := newGroup(23)
+		g := newGroup(23, 0)
 		g.change(5)
 		frozen := g.leader()
 		g.running[frozen].Signal(syscall.SIGSTOP)
@@ -236,8 +239,29 @@
 		g.inForce()
 	})
 
+	ginkgo.It("are replaced one by one by the operator's command", func() {
+		g := newGroup(25, 1)
+		g.change(5)
+		run := func(arguments ...string) *gexec.Session {
+			hosts := fmt.Sprintf("%s,%s", g.hosts[1].Listen.Operators, g.hosts[3].Listen.Operators)
+			session := g.start(program, append([]string{"control-member", "--hosts", hosts}, arguments...)...)
+			gomega.Eventually(session, patience).Should(gexec.Exit())
+			return session
+		}
+		refused := run("add", "nobody")
+		gomega.Expect(refused.ExitCode()).To(gomega.Equal(3))
+		gomega.Expect(string(refused.Err.Contents())).To(gomega.ContainSubstring("has not asked to join"))
+		replaced := run("replace", "h-3", "h-4")
+		gomega.Expect(replaced.ExitCode()).To(gomega.Equal(0), string(replaced.Err.Contents()))
+		gomega.Expect(string(replaced.Out.Contents())).To(gomega.MatchRegexp(`(?s)^h-1\tvoter.*h-2\tvoter.*h-4\tvoter.*`))
+		again := run("replace", "h-3", "h-4")
+		gomega.Expect(again.ExitCode()).To(gomega.Equal(0), string(again.Err.Contents()))
+		g.kill(0)
+		g.change(5)
+	})
+
 	ginkgo.It("stop when their data folder is damaged, and name the place", func() {
-		g := newGroup(24)
+		g := newGroup(24, 0)
 		g.change(3)
 		g.kill(0)
 		segment := g.folder + "/" + g.hosts[0].Control.DataFolder + "/segment-0000000000000001"
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -16,12 +16,12 @@
 	Policies      map[identifier.CustomerID]*configurer.Policy
 	Servers       map[identifier.ServerID]*Server
 	ByService     map[identifier.ServiceID][]leaser.Announcement
+	// ControlMembers are the members of the replicated log, known on control hosts only.
+	ControlMembers replicator.Membership
 	// Hosts are the live entry hosts, which own the servers.
 	Hosts []router.Host
 	// Leaving are the hosts that own no servers any more but finish what is in flight.
 	Leaving []identifier.HostID
-	// ControlMembers are the members of the replicated log, known on control hosts only.
-	ControlMembers replicator.Membership
 	// Control is what this host knows of the replicated log.
 	Control ControlStatus
 }
@@ -37,14 +37,14 @@
 // newView joins the leases, the live hosts and the policies.
 func newView(c *control) *View {
 	v := &View{
-		Configuration: c.version,
-		Policies:      c.policies,
-		Servers:       map[identifier.ServerID]*Server{},
-		ByService:     map[identifier.ServiceID][]leaser.Announcement{},
-		Hosts:         c.liveHosts(),
-		Leaving:       c.leavingHosts(),
-		Control:       c.status,
 		ControlMembers: c.replication.members(),
+		Configuration:  c.version,
+		Policies:       c.policies,
+		Servers:        map[identifier.ServerID]*Server{},
+		ByService:      map[identifier.ServiceID][]leaser.Announcement{},
+		Hosts:          c.liveHosts(),
+		Leaving:        c.leavingHosts(),
+		Control:        c.status,
 	}
 	for _, a := range c.leases.Announcements() {
 		owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
