pkg/chooser, pkg/hedger, pkg/throttler, pkg/quarantiner: decide by own measurements

Cause: the choice of a server counted attempts in flight only, so a server that fails at once attracted work; nothing hedged, and retries had no budget. Ruled out: reported load as an input (it can be late or false); peak-sensitive averages (one slow answer of a good server would shun it); a quantile alone as the delay before a hedge (slow servers raise it: bounded by six medians); budgets by time (hosts would have to share them: a share of each state's own needed attempts adds up by itself). Change: four pure packages. Chooser: expected time from own work in flight, own latency, distance, cold start, failures. Hedger: delay and overload of a service. Throttler: budget of extra attempts. Quarantiner: suspects, permits, quarantine.

--- /dev/null
+++ b/pkg/chooser/record.go
@@ -0,0 +1,98 @@
+package chooser
+
+import (
+	"math"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+const (
+	// sampleWeight is the least weight of a new latency in the estimate.
+	sampleWeight = 0.05
+	// estimateHalfLife is the time in which the evidence that a server is slow loses half of its weight.
+	estimateHalfLife = 4 * identifier.Second
+	// floorWindow is the time over which the least latency is kept.
+	floorWindow = 5 * identifier.Second
+	// firstPenalty is how long a server is left alone after its first failure.
+	firstPenalty = 100 * identifier.Millisecond
+	// maxPenalty bounds how long a server is left alone after repeated failures.
+	maxPenalty = 10 * identifier.Second
+	// warmSamples is how many served attempts end the ramp of a cold server.
+	warmSamples = 20
+)
+
+// record is what one state measured of one server.
+type record struct {
+	incarnation identifier.Incarnation
+	outstanding int
+	// estimate is the moving average of latencies, in microseconds; 0 is none.
+	estimate float64
+	measured identifier.Instant
+	// served counts the served attempts of the incarnation.
+	served int
+	// floor and nextFloor are the least latencies of the previous and the running window.
+	floor, nextFloor identifier.Micros
+	floorSince       identifier.Instant
+	failures         int
+	blockedUntil     identifier.Instant
+}
+
+// sample takes a latency into the estimate.
+func (r *record) sample(now identifier.Instant, latency identifier.Micros) {
+	weight := max(sampleWeight, 1/float64(r.served+1))
+	if r.estimate == 0 {
+		weight = 1
+	}
+	r.estimate += (float64(latency) - r.estimate) * weight
+	r.measured = now
+}
+
+// sampleFloor keeps the least latency of two windows of time.
+func (r *record) sampleFloor(now identifier.Instant, latency identifier.Micros) {
+	if r.nextFloor == 0 || latency < r.nextFloor {
+		r.nextFloor = latency
+	}
+	if now.Since(r.floorSince) < floorWindow {
+		return
+	}
+	r.floor = r.nextFloor
+	r.nextFloor = latency
+	r.floorSince = now
+}
+
+// least returns the least latency of late, in microseconds; 0 is unknown.
+func (r *record) least() identifier.Micros {
+	if r.floor == 0 || (r.nextFloor > 0 && r.nextFloor < r.floor) {
+		return r.nextFloor
+	}
+	return r.floor
+}
+
+func (r *record) serve(now identifier.Instant, latency identifier.Micros) {
+	r.sample(now, latency)
+	r.sampleFloor(now, latency)
+	r.served++
+	r.failures = 0
+	r.blockedUntil = 0
+}
+
+// fail leaves the server alone for a time that doubles with each failure in a row.
+func (r *record) fail(now identifier.Instant) {
+	penalty := min(maxPenalty, firstPenalty<<min(r.failures, 10))
+	r.failures++
+	r.blockedUntil = now.Add(penalty)
+}
+
+// slowness is the estimate over the reference; its distance from 1 fades without new samples.
+func (r *record) slowness(now identifier.Instant, reference float64) float64 {
+	if r.estimate <= reference || reference == 0 {
+		return 1
+	}
+	age := float64(now.Since(r.measured)) / float64(estimateHalfLife)
+	return 1 + (r.estimate/reference-1)*math.Exp2(-age)
+}
+
+// coldness falls from 1 to 0 while a server that has started takes its first attempts.
+func (r *record) coldness() float64 {
+	return 1 - float64(min(r.served, warmSamples))/warmSamples
+}
--- /dev/null
+++ b/pkg/hedger/digest.go
@@ -0,0 +1,67 @@
+package hedger
+
+import (
+	"math/bits"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+const (
+	// stepsPerOctave is how many buckets divide each doubling of the latency.
+	stepsPerOctave = 4
+	// octaves bounds the latencies that buckets tell apart, at 2^23 microseconds.
+	octaves = 23
+	// bucketCount is the number of buckets of a digest.
+	bucketCount = stepsPerOctave * octaves
+	// digestCapacity is the weight at which old samples lose half of theirs.
+	digestCapacity = 512
+)
+
+// digest is a histogram of latencies that forgets old ones.
+type digest struct {
+	counts [bucketCount]uint16
+	total  int
+}
+
+// bucketOf returns the bucket of a latency in microseconds.
+func bucketOf(m identifier.Micros) int {
+	value := uint64(max(m, stepsPerOctave))
+	octave := bits.Len64(value) - 1
+	step := (value >> (octave - 2)) & (stepsPerOctave - 1)
+	return min(bucketCount-1, (octave-2)*stepsPerOctave+int(step))
+}
+
+// upperBound returns the least latency above the bucket, in microseconds.
+func upperBound(bucket int) identifier.Micros {
+	octave, step := bucket/stepsPerOctave, bucket%stepsPerOctave
+	return identifier.Micros(stepsPerOctave+step+1) << octave
+}
+
+// add counts a latency.
+func (d *digest) add(m identifier.Micros) {
+	d.counts[bucketOf(m)]++
+	d.total++
+	if d.total >= digestCapacity {
+		d.halve()
+	}
+}
+
+func (d *digest) halve() {
+	d.total = 0
+	for i := range d.counts {
+		d.counts[i] /= 2
+		d.total += int(d.counts[i])
+	}
+}
+
+// quantile returns the latency below which the share of the samples lies; 0 without samples.
+func (d *digest) quantile(share identifier.Ratio) identifier.Micros {
+	below := 0
+	for i, n := range d.counts {
+		below += int(n)
+		if n > 0 && float64(below) >= float64(share)*float64(d.total) {
+			return upperBound(i)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/throttler/throttler_test.go
@@ -0,0 +1,37 @@
+package throttler_test
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/throttler"
+)
+
+var _ = ginkgo.Describe("a throttler", func() {
+	for _, c := range []struct {
+		name           string
+		burst, reserve float64
+		needed         int
+		share          identifier.Ratio
+		spent          uint64
+	}{
+		{"has nothing at first", 10, 0, 0, 0.05, 0},
+		{"earns one in twenty", 10, 0, 60, 0.05, 3},
+		{"saves up no more than its burst", 10, 0, 10000, 0.05, 10},
+		{"spends its reserve", 10, 4, 0, 0.05, 4},
+		{"earns nothing without a share", 10, 0, 1000, 0, 0},
+	} {
+		ginkgo.It(c.name, func() {
+			t := throttler.New(c.burst, c.reserve)
+			for range c.needed {
+				t.Earn(c.share)
+			}
+			for range 100 {
+				t.Spend()
+			}
+			gomega.Expect(t.Spent()).To(gomega.Equal(c.spent))
+			gomega.Expect(t.Kept()).To(gomega.BeTrue())
+		})
+	}
+})
