pkg/reducer: hedge, retry, replan and probe within budgets

Cause: a query failed when its open attempts ran out, waited for stragglers until its deadline, and a request that crashes servers was retried on every replica at once. Ruled out: one timer for each attempt's hedge (a query needs one, at its earliest); quarantine by lost calls alone (a cut loses calls too: the owner proves a crash by a new incarnation or a lapsed lease); probes without a permit (hosts would probe side by side). Change: query.go is split into one file for each job. pkg/planner pins one epoch and version across a repartitioning, and plans are kept until the view changes. Owners hold suspects back; an arbiter host grants single probes. Queries end before their timeout by a margin for the reply (a twentieth, 5 ms at most).

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -29,6 +29,12 @@
 	reducer.AttemptServed{},
 	reducer.AttemptRefused{},
 	reducer.AttemptLost{},
+	reducer.FingerprintSuspected{},
+	reducer.FingerprintCrashed{},
+	reducer.FingerprintCleared{},
+	reducer.ProbeAsked{},
+	reducer.ProbeReturned{},
+	reducer.ProbeGranted{},
 }
 
 var tags = indexTags()
--- a/pkg/configurer/configurer.go
+++ b/pkg/configurer/configurer.go
@@ -73,9 +73,12 @@
 	ID        identifier.CustomerID `yaml:"customer" json:"customer" msgpack:"customer"`
 	Template  identifier.TemplateID `yaml:"template" json:"template" msgpack:"template"`
 	Partition Partition             `yaml:"partition" json:"partition" msgpack:"partition"`
-	Works     []Work                `yaml:"works,omitempty" json:"works,omitempty" msgpack:"works"`
-	Ranks     []RankParameters      `yaml:"ranks,omitempty" json:"ranks,omitempty" msgpack:"ranks"`
-	Budgets   *Budgets              `yaml:"budgets,omitempty" json:"budgets,omitempty" msgpack:"budgets"`
+	// Previous is the partition that queries may fall back to while a change of
+	// epoch is under way; nil is none.
+	Previous *Partition       `yaml:"previous-partition,omitempty" json:"previous-partition,omitempty" msgpack:"previous-partition"`
+	Works    []Work           `yaml:"works,omitempty" json:"works,omitempty" msgpack:"works"`
+	Ranks    []RankParameters `yaml:"ranks,omitempty" json:"ranks,omitempty" msgpack:"ranks"`
+	Budgets  *Budgets         `yaml:"budgets,omitempty" json:"budgets,omitempty" msgpack:"budgets"`
 }
 
 // Limits are the resolved promises for one rank.
@@ -97,6 +100,16 @@
 	Partition   Partition
 	// Ranges are the ranges of the partition's shards, in the same order.
 	Ranges []identifier.HashRange
+	// Previous is the partition before a change of epoch, or nil.
+	Previous *Partition
+}
+
+// Partitions returns the partitions that a query may keep to, newest first.
+func (p *Policy) Partitions() []Partition {
+	if p.Previous == nil {
+		return []Partition{p.Partition}
+	}
+	return []Partition{p.Partition, *p.Previous}
 }
 
 // InvalidFieldError reports a field whose value breaks a rule.
@@ -147,10 +160,27 @@
 	if !share(budgets.Hedge) || !share(budgets.Retry) {
 		return nil, &InvalidFieldError{object, "budgets", "a budget must lie from 0 to 1"}
 	}
-	if err := p.addRanges(object); err != nil {
+	ranges, err := p.Partition.ranges(object, "partition")
+	if err != nil {
 		return nil, err
 	}
-	return p, nil
+	p.Ranges = ranges
+	return p, p.addPrevious(object, c.Previous)
+}
+
+// addPrevious takes the partition before a change of epoch.
+func (p *Policy) addPrevious(object string, previous *Partition) error {
+	if previous == nil {
+		return nil
+	}
+	if previous.Epoch >= p.Partition.Epoch {
+		return &InvalidFieldError{object, "previous-partition.epoch", "must be below the partition's epoch"}
+	}
+	if _, err := previous.ranges(object, "previous-partition"); err != nil {
+		return err
+	}
+	p.Previous = previous
+	return nil
 }
 
 func share(value float64) bool {
@@ -195,26 +225,28 @@
 	return nil
 }
 
-func (p *Policy) addRanges(object string) error {
-	if len(p.Partition.Shards) == 0 {
-		return &InvalidFieldError{object, "partition.shards", "must name at least one shard"}
+// ranges returns the ranges of the shards if they divide the whole hash space.
+func (p *Partition) ranges(object, path string) ([]identifier.HashRange, error) {
+	if len(p.Shards) == 0 {
+		return nil, &InvalidFieldError{object, path + ".shards", "must name at least one shard"}
 	}
+	var ranges []identifier.HashRange
 	var end identifier.HashPoint
-	for i, s := range p.Partition.Shards {
-		field := fmt.Sprintf("partition.shards[%d]", i)
+	for i, s := range p.Shards {
+		field := fmt.Sprintf("%s.shards[%d]", path, i)
 		if s.Service == "" {
-			return &InvalidFieldError{object, field + ".service", "must not be empty"}
+			return nil, &InvalidFieldError{object, field + ".service", "must not be empty"}
 		}
 		if s.Range.From != end || s.Range.Width() == 0 {
-			return &InvalidFieldError{object, field + ".range", fmt.Sprintf("must start at %d and not be empty", end)}
+			return nil, &InvalidFieldError{object, field + ".range", fmt.Sprintf("must start at %d and not be empty", end)}
 		}
 		end = s.Range.To
-		p.Ranges = append(p.Ranges, s.Range)
+		ranges = append(ranges, s.Range)
 	}
 	if end != identifier.HashSpace {
-		return &InvalidFieldError{object, "partition.shards", fmt.Sprintf("must end at %d", identifier.HashSpace)}
+		return nil, &InvalidFieldError{object, path + ".shards", fmt.Sprintf("must end at %d", identifier.HashSpace)}
 	}
-	return nil
+	return ranges, nil
 }
 
 // EvenPartition divides the hash space evenly among the services, in order.
--- a/pkg/coverer/coverer.go
+++ b/pkg/coverer/coverer.go
@@ -54,6 +54,11 @@
 	return c.missing == 0
 }
 
+// Width returns the sum of the covered ranges.
+func (c *Coverer) Width() identifier.HashPoint {
+	return c.sum
+}
+
 // Ratio returns the covered share of the denominator, from 0 to 1. It is exactly
 // 1 when all ranges are covered and 0 when there are none.
 func (c *Coverer) Ratio() identifier.Ratio {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -1,12 +1,16 @@
 // Package planner pins the snapshot that a query reads.
 //
-// A plan names one partitioning and one index version, and for each range the
+// A plan names one partitioning and one index version, and for each shard the
 // servers that hold it at that version. Parts of other versions are never
 // merged into the answer.
 //
+// During a repartitioning some servers hold ranges of the new epoch only and
+// others of the old one only. A plan keeps to one epoch: the newest that can be
+// served in full, else the one that covers most.
+//
 // # Usage
 //
-//	plan := planner.Pin(policy.Partition, func(id identifier.ServiceID) []leaser.Announcement {
+//	plan := planner.Pin(policy.Partitions(), func(id identifier.ServiceID) []leaser.Announcement {
 //		return byService[id]
 //	})
 package planner
@@ -19,17 +23,49 @@
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 )
 
-// Plan is a pinned snapshot and, for each shard of the partition, the servers
-// that can serve it. A shard without servers is a hole in the coverage.
+// Lookup returns the announcements of a service's servers, in order of id.
+type Lookup func(identifier.ServiceID) []leaser.Announcement
+
+// Plan is a pinned snapshot and, for each shard of its partition, the servers
+// that can serve it. A shard without servers is a hole in the coverage. It is
+// immutable once made, so that queries can share it.
 type Plan struct {
 	Snapshot identifier.Snapshot
-	Servers  [][]identifier.ServerID
+	Shards   []configurer.Shard
+	// Ranges are the ranges of the shards, in the same order.
+	Ranges  []identifier.HashRange
+	Servers [][]identifier.ServerID
+	// Width is the width of the ranges that have a server.
+	Width identifier.HashPoint
+}
+
+// NewerThan reports whether the plan's snapshot is newer than the other one.
+func (p *Plan) NewerThan(other identifier.Snapshot) bool {
+	if p.Snapshot.Epoch != other.Epoch {
+		return p.Snapshot.Epoch > other.Epoch
+	}
+	return p.Snapshot.Version > other.Version
+}
+
+// Pin returns the plan that covers the most of the hash space; of equals, the
+// one of the newest epoch, then of the newest index version. Draining servers
+// are left out. The partitions are given newest first.
+func Pin(partitions []configurer.Partition, lookup Lookup) *Plan {
+	var best *Plan
+	for i := range partitions {
+		plan := pin(&partitions[i], lookup)
+		if best == nil || plan.Width > best.Width {
+			best = plan
+		}
+		if best.Width == identifier.HashSpace {
+			return best
+		}
+	}
+	return best
 }
 
-// Pin chooses the newest index version that covers the most of the hash space
-// and returns the servers of each shard at that version, in the order given by
-// the lookup. Draining servers are left out.
-func Pin(p configurer.Partition, lookup func(identifier.ServiceID) []leaser.Announcement) Plan {
+// pin returns the best plan of one partition.
+func pin(p *configurer.Partition, lookup Lookup) *Plan {
 	widths := map[identifier.IndexVersion]identifier.HashPoint{}
 	for _, s := range p.Shards {
 		for _, v := range shardVersions(p.Epoch, s, lookup(s.Service)) {
@@ -37,11 +73,14 @@
 		}
 	}
 	version := widest(widths)
-	plan := Plan{
+	plan := &Plan{
 		Snapshot: identifier.Snapshot{Epoch: p.Epoch, Version: version},
+		Shards:   p.Shards,
 		Servers:  make([][]identifier.ServerID, len(p.Shards)),
+		Width:    widths[version],
 	}
 	for i, s := range p.Shards {
+		plan.Ranges = append(plan.Ranges, s.Range)
 		for _, a := range lookup(s.Service) {
 			if slices.Contains(versionsOf(p.Epoch, s, a), version) {
 				plan.Servers[i] = append(plan.Servers[i], a.Server)
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -33,6 +33,12 @@
 	reducer.CallServed{},
 	reducer.CallRefused{},
 	reducer.CallLost{},
+	reducer.FingerprintSuspected{},
+	reducer.FingerprintCrashed{},
+	reducer.FingerprintCleared{},
+	reducer.ProbeAsked{},
+	reducer.ProbeReturned{},
+	reducer.ProbeGranted{},
 }
 
 // FormatError reports a session file that can't be read.
--- /dev/null
+++ b/pkg/reducer/crash.go
@@ -0,0 +1,75 @@
+package reducer
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
+)
+
+// loss is a call that ended without an answer on a server that may have crashed.
+type loss struct {
+	fingerprint identifier.Fingerprint
+	crash       quarantiner.Crash
+}
+
+// holdsBack reports whether the owner of a server must not run a queued attempt: a
+// suspect request runs only as a probe, and beside no other probe on the server,
+// so that a crash tells which request it was.
+func (s *State) holdsBack(account *slots, j *job) bool {
+	if !j.Probe {
+		return s.suspected(j.Fingerprint)
+	}
+	if s.standing(j.Fingerprint) == quarantiner.Quarantined {
+		return true
+	}
+	for _, other := range account.flying {
+		if other.Probe {
+			return true
+		}
+	}
+	return false
+}
+
+// noteLoss remembers, as the owner, a call that was lost while it was still wanted.
+func (s *State) noteLoss(e CallLost) {
+	account, ok := s.traffic.slots[e.Server]
+	if !ok {
+		return
+	}
+	j, ok := account.flying[e.Attempt]
+	server, known := s.traffic.view.Servers[e.Server]
+	if !ok || j.cancelled || j.Fingerprint == 0 || j.deadline <= s.now {
+		return
+	}
+	l := loss{fingerprint: j.Fingerprint, crash: quarantiner.Crash{Server: e.Server, Probe: j.Probe, At: s.now}}
+	if known {
+		l.crash.Incarnation = server.Incarnation
+		l.crash.Service = server.Service
+	}
+	s.traffic.losses[e.Server] = append(s.traffic.losses[e.Server], l)
+	if !known {
+		s.proveCrashes()
+	}
+}
+
+// proveCrashes looks for servers that lost calls and then started anew or lost their lease.
+func (s *State) proveCrashes() {
+	for _, id := range sortedKeys(s.traffic.losses) {
+		losses := s.traffic.losses[id]
+		server, ok := s.traffic.view.Servers[id]
+		var unproven []loss
+		for _, l := range losses {
+			switch {
+			case s.now.Since(l.crash.At) > quarantiner.EvidenceTerm:
+			case !ok || server.Incarnation > l.crash.Incarnation:
+				s.tellStates(FingerprintCrashed{Fingerprint: l.fingerprint, Crash: l.crash, Age: s.now.Since(l.crash.At)})
+			default:
+				unproven = append(unproven, l)
+			}
+		}
+		if len(unproven) == 0 {
+			delete(s.traffic.losses, id)
+			continue
+		}
+		s.traffic.losses[id] = unproven
+	}
+}
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -134,6 +134,8 @@
 	TimedOut        FailureKind = "timeout"
 	NotReady        FailureKind = "not-ready"
 	LedgerMissing   FailureKind = "ledger-unavailable"
+	// Quarantined requests have crashed backend servers.
+	Quarantined FailureKind = "quarantined"
 )
 
 // Ran tells whether any part of a failed query ran on a backend server.
@@ -155,6 +157,7 @@
 	ConfigurationSubsystem Subsystem = "configuration"
 	QuerySubsystem         Subsystem = "query"
 	SlotSubsystem          Subsystem = "slot"
+	QuarantineSubsystem    Subsystem = "quarantine"
 )
 
 // LogLevel is the severity of a log line.
@@ -185,6 +188,10 @@
 	AttemptsCounter       Counter = "attempts"
 	RetriesCounter        Counter = "retries"
 	MismatchedPartCounter Counter = "mismatched-parts"
+	HedgesCounter         Counter = "hedges"
+	HedgesWithheldCounter Counter = "hedges-withheld"
+	ProbesCounter         Counter = "probes"
+	ReplansCounter        Counter = "replans"
 
 	// BrokenInvariantsCounter counts invariants found broken; it must stay 0.
 	BrokenInvariantsCounter Counter = "broken-invariants"
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -44,6 +44,12 @@
 	Key() identifier.ServerID
 }
 
+// QuarantineEvent is the family about the permits to probe suspect requests.
+type QuarantineEvent interface {
+	Event
+	isQuarantineEvent()
+}
+
 type processEvent struct{}
 
 func (processEvent) isEvent()        {}
@@ -69,6 +75,11 @@
 func (slotEvent) isEvent()     {}
 func (slotEvent) isSlotEvent() {}
 
+type quarantineEvent struct{}
+
+func (quarantineEvent) isEvent()           {}
+func (quarantineEvent) isQuarantineEvent() {}
+
 // Process events.
 type (
 	// Started is the first event of every state. Seed feeds its random choices.
@@ -194,6 +205,9 @@
 	RefusedNotOwner
 	// RefusedSnapshot means that the server no longer holds the pinned snapshot.
 	RefusedSnapshot
+	// RefusedSuspect means that the request is suspected of crashing servers and may
+	// run only as a single probe.
+	RefusedSuspect
 )
 
 // Key returns the request of the query.
@@ -229,6 +243,8 @@
 		Repeatable  bool                   `msgpack:"p"`
 		Fingerprint identifier.Fingerprint `msgpack:"f"`
 		Body        []byte                 `msgpack:"b"`
+		// Probe is set on the single attempt of a request suspected of crashing servers.
+		Probe bool `msgpack:"t"`
 	}
 	// AttemptCancelled withdraws an attempt whose result is no longer needed.
 	AttemptCancelled struct {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -7,6 +7,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -30,6 +31,8 @@
 	version  identifier.Version
 	policies map[identifier.CustomerID]*configurer.Policy
 	self     router.Host
+	// arbiter hands out the permits to probe suspect requests.
+	arbiter *quarantiner.Arbiter
 }
 
 type hostLease struct {
@@ -42,6 +45,7 @@
 		leases:   leaser.New(LeaseTerm),
 		heard:    map[identifier.HostID]hostLease{},
 		policies: map[identifier.CustomerID]*configurer.Policy{},
+		arbiter:  quarantiner.NewArbiter(),
 	}
 }
 
@@ -65,6 +69,7 @@
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
 }
 
 func (s *State) reduceMembership(event MembershipEvent) {
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -4,30 +4,31 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/coverer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
-	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/planner"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 )
 
-// MaxShardAttempts bounds the attempts for one shard of one query.
-const MaxShardAttempts = 3
-
-// traffic is the part of a state that the traffic goroutines use.
-type traffic struct {
-	view    *View
-	queries map[identifier.RequestID]*query
-	slots   map[identifier.ServerID]*slots
-	// outstanding counts this state's own attempts in flight on each server.
-	outstanding map[identifier.ServerID]int
-}
+// Spans of a query.
+const (
+	// MaxReplyMargin bounds the time kept back from a query's timeout for its reply to travel.
+	MaxReplyMargin = 5 * identifier.Millisecond
+	// replyMarginDivisor is the part of a query's timeout that is kept back.
+	replyMarginDivisor = 20
+)
 
-func newTraffic() traffic {
-	return traffic{
-		view:        &View{},
-		queries:     map[identifier.RequestID]*query{},
-		slots:       map[identifier.ServerID]*slots{},
-		outstanding: map[identifier.ServerID]int{},
-	}
-}
+// Invariants of queries.
+const (
+	// CoverageInvariant says that the coverage of an answer is the sum of its parts' ranges.
+	CoverageInvariant Invariant = "coverage-is-the-parts"
+	// RanInvariant says that a query reported as not run has no attempt that may have run.
+	RanInvariant Invariant = "not-run-is-true"
+	// HedgeInvariant says that hedges stay within their budget.
+	HedgeInvariant Invariant = "hedges-within-budget"
+	// RetryInvariant says that budgeted retries stay within their budget.
+	RetryInvariant Invariant = "retries-within-budget"
+	// OnceInvariant says that no part of a query that is not repeatable runs twice.
+	OnceInvariant Invariant = "not-repeated"
+)
 
 // query is one caller's query in progress.
 type query struct {
@@ -38,22 +39,39 @@
 	arrival       identifier.Instant
 	deadline      identifier.Instant
 	minCoverage   identifier.Ratio
-	plan          planner.Plan
+	plan          *planner.Plan
 	coverage      *coverer.Coverer
 	parts         []Part
-	attempts      map[uint32]*attempt
-	sequence      uint32
-	// tries counts the attempts for each shard.
-	tries []int
+	// attempts holds every attempt of the query; the index is the sequence less 1.
+	attempts []attempt
+	shards   []shard
+	// open, waiting and parked count attempts in flight, shards that wait for a
+	// retry, and shards held back because the query is suspect.
+	open, waiting, parked int
+	replans               int
+	// dropped are the servers that no longer hold the pinned snapshot.
+	dropped []identifier.ServerID
+	// hedgeTimer is the instant of the query's next hedgeDue.
+	hedgeTimer identifier.Instant
 	// ran is set once an attempt may have run.
 	ran bool
-}
-
-// attempt is one attempt to fetch the part of one shard.
-type attempt struct {
-	shard  int
-	server identifier.ServerID
-	owner  identifier.HostID
+	// asked is set while the query waits for a permit to probe or holds one.
+	asked   bool
+	arbiter identifier.HostID
+	// granted is set while the query may send a probe; probing, while one is in flight.
+	granted, probing bool
+}
+
+// shard is the progress of one shard of a query's plan.
+type shard struct {
+	tries   int
+	open    int
+	waiting bool
+	parked  bool
+	// ran is set once an attempt may have run.
+	ran bool
+	// last is the server of the latest attempt.
+	last identifier.ServerID
 }
 
 func (s *State) reduceQuery(event QueryEvent) {
@@ -65,9 +83,11 @@
 	case AttemptServed:
 		s.mergePart(e)
 	case AttemptRefused:
-		s.endAttempt(e.Attempt, false)
+		s.endRefused(e)
 	case AttemptLost:
-		s.endAttempt(e.Attempt, true)
+		s.endLost(e)
+	case ProbeGranted:
+		s.probe(e)
 	}
 }
 
@@ -84,25 +104,25 @@
 		return
 	}
 	limits := policy.Limits[rank]
+	timeout := min(e.Timeout, limits.Timeout)
 	q := &query{
 		QueryArrived:  e,
 		policy:        policy,
 		configuration: s.traffic.view.Configuration,
 		rank:          rank,
 		arrival:       s.now,
-		deadline:      s.now.Add(min(e.Timeout, limits.Timeout)),
+		deadline:      s.now.Add(timeout - replyMargin(timeout)),
 		minCoverage:   max(e.MinCoverage, limits.MinCoverage),
-		plan:          planner.Pin(policy.Partition, s.announcements),
-		coverage:      coverer.New(policy.Ranges),
-		attempts:      map[uint32]*attempt{},
-		tries:         make([]int, len(policy.Ranges)),
+		hedgeTimer:    identifier.Never,
 	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
-	for shard := range policy.Partition.Shards {
-		s.submit(q, shard, "")
-	}
-	s.finishIfSettled(q)
+	s.scatter(q, s.pin(policy))
+}
+
+// replyMargin returns the time kept back from a timeout for the reply to travel, in microseconds.
+func replyMargin(timeout identifier.Micros) identifier.Micros {
+	return min(MaxReplyMargin, timeout/replyMarginDivisor)
 }
 
 // classify finds the policy and rank of a query, or why it can't run.
@@ -121,158 +141,54 @@
 	if !e.Repeatable {
 		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need the ledger"}
 	}
-	return policy, rank, nil
-}
-
-func (s *State) announcements(id identifier.ServiceID) []leaser.Announcement {
-	return s.traffic.view.ByService[id]
-}
-
-// submit sends an attempt for a shard to the owner of one of its servers, other
-// than the excluded one. It reports false when no server or no try is left.
-func (s *State) submit(q *query, shard int, excluded identifier.ServerID) bool {
-	id, ok := s.choose(q.plan.Servers[shard], excluded)
-	if !ok || q.tries[shard] == MaxShardAttempts {
-		return false
+	if s.standing(e.Fingerprint) == quarantiner.Quarantined {
+		return policy, rank, s.quarantined(e.Fingerprint)
 	}
-	q.tries[shard]++
-	server := s.traffic.view.Servers[id]
-	q.sequence++
-	q.attempts[q.sequence] = &attempt{shard: shard, server: id, owner: server.Owner}
-	s.traffic.outstanding[id]++
-	s.count(AttemptsCounter, q.Customer, q.rank)
-	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
-		From:        s.parameters.Host,
-		Attempt:     identifier.AttemptID{Request: q.Request, Sequence: q.sequence},
-		Server:      id,
-		Customer:    q.Customer,
-		Work:        q.Work,
-		Rank:        q.rank,
-		Remaining:   q.deadline.Since(s.now),
-		Snapshot:    q.plan.Snapshot,
-		Range:       q.policy.Ranges[shard],
-		Repeatable:  q.Repeatable,
-		Fingerprint: q.Fingerprint,
-		Body:        q.Body,
-	}})
-	return true
-}
-
-// choose takes the server with the least own work in flight; ties are broken at random.
-func (s *State) choose(candidates []identifier.ServerID, excluded identifier.ServerID) (identifier.ServerID, bool) {
-	var best identifier.ServerID
-	found := false
-	ties := 0
-	for _, id := range candidates {
-		server, ok := s.traffic.view.Servers[id]
-		if id == excluded || !ok || server.State == leaser.Draining || server.Owner == "" {
-			continue
-		}
-		load := s.traffic.outstanding[id]
-		switch {
-		case !found || load < s.traffic.outstanding[best]:
-			best, found, ties = id, true, 1
-		case load == s.traffic.outstanding[best]:
-			ties++
-			if s.random.IntN(ties) == 0 {
-				best = id
-			}
-		}
-	}
-	return best, found
+	return policy, rank, nil
 }
 
-// mergePart adds a part to the answer if it belongs to the pinned snapshot and to an open attempt.
-func (s *State) mergePart(e AttemptServed) {
-	q, a := s.takeAttempt(e.Attempt)
-	if a == nil {
-		return
-	}
-	q.ran = true
-	if e.Snapshot != q.plan.Snapshot || e.Range != q.policy.Ranges[a.shard] {
-		s.count(MismatchedPartCounter, q.Customer, q.rank)
-		s.retry(q, a)
-		return
+// scatter begins the plan: it sends an attempt for each shard that has a server.
+func (s *State) scatter(q *query, p *planner.Plan) {
+	q.plan = p
+	q.coverage = coverer.New(p.Ranges)
+	q.shards = make([]shard, len(p.Shards))
+	q.dropped = nil
+	q.parts = nil
+	if q.attempts == nil {
+		q.attempts = make([]attempt, 0, len(p.Shards)+1)
+		q.parts = make([]Part, 0, len(p.Shards))
 	}
-	if q.coverage.Cover(a.shard) {
-		q.parts = append(q.parts, Part{
-			Service: q.policy.Partition.Shards[a.shard].Service,
-			Server:  e.Server,
-			Range:   e.Range,
-			Body:    e.Body,
-		})
+	for i := range q.shards {
+		s.start(q, i)
 	}
+	s.armHedges(q)
 	s.finishIfSettled(q)
 }
 
-// endAttempt handles an attempt that gave no part.
-func (s *State) endAttempt(id identifier.AttemptID, ran bool) {
-	q, a := s.takeAttempt(id)
-	if a == nil {
+// finishIfSettled ends a query that is complete or has nothing left to wait for.
+func (s *State) finishIfSettled(q *query) {
+	if s.traffic.queries[q.Request] != q {
 		return
 	}
-	q.ran = q.ran || ran
-	s.retry(q, a)
-}
-
-// loseAttempts ends the open attempts at the owners that have gone; they may have run.
-func (s *State) loseAttempts(gone func(owner identifier.HostID) bool) {
-	for _, request := range sortedKeys(s.traffic.queries) {
-		q := s.traffic.queries[request]
-		for n := uint32(1); n <= q.sequence; n++ {
-			if a, ok := q.attempts[n]; ok && gone(a.owner) {
-				s.endAttempt(identifier.AttemptID{Request: request, Sequence: n}, true)
-			}
-		}
-	}
-}
-
-// retry sends another attempt for the shard to another server.
-func (s *State) retry(q *query, a *attempt) {
-	if s.submit(q, a.shard, a.server) {
-		s.count(RetriesCounter, q.Customer, q.rank)
-	}
-	s.finishIfSettled(q)
-}
-
-// takeAttempt closes an open attempt and returns it, or nil when it is not open.
-func (s *State) takeAttempt(id identifier.AttemptID) (*query, *attempt) {
-	q, ok := s.traffic.queries[id.Request]
-	if !ok {
-		return nil, nil
-	}
-	a, ok := q.attempts[id.Sequence]
-	if !ok {
-		return q, nil
-	}
-	delete(q.attempts, id.Sequence)
-	s.release(a.server)
-	return q, a
-}
-
-func (s *State) release(server identifier.ServerID) {
-	s.traffic.outstanding[server]--
-	if s.traffic.outstanding[server] <= 0 {
-		delete(s.traffic.outstanding, server)
-	}
-}
-
-// finishIfSettled ends a query that is complete or has no open attempt.
-func (s *State) finishIfSettled(q *query) {
-	if q.coverage.Complete() || len(q.attempts) == 0 {
+	if q.coverage.Complete() || q.open+q.waiting+q.parked == 0 {
 		s.finish(q, CoverageTooLow)
 	}
 }
 
+// endQueryAtDeadline ends a query with what it has. Until then it waits for every
+// shard, even when its least coverage is met: a more complete answer in time is
+// worth more than an early one.
 func (s *State) endQueryAtDeadline(request identifier.RequestID) {
 	if q, ok := s.traffic.queries[request]; ok {
-		q.ran = q.ran || len(q.attempts) > 0
+		q.ran = q.ran || q.open > 0
 		s.finish(q, TimedOut)
 	}
 }
 
 // finish ends a query: an answer when its coverage suffices, else a failure of the given kind.
 func (s *State) finish(q *query, kind FailureKind) {
+	s.require(q.ran || q.open == 0, RanInvariant, string(q.Request))
+	s.require(q.partsWidth() == q.coverage.Width(), CoverageInvariant, string(q.Request))
 	s.drop(q)
 	outcome := q.outcome(kind)
 	counter := AnswersCounter
@@ -284,6 +200,15 @@
 	s.emit(Reply{Request: q.Request, Outcome: outcome})
 }
 
+// partsWidth sums the hash ranges of the parts.
+func (q *query) partsWidth() identifier.HashPoint {
+	var width identifier.HashPoint
+	for i := range q.parts {
+		width += q.parts[i].Range.Width()
+	}
+	return width
+}
+
 // outcome returns the answer when its coverage suffices, else a failure of the given kind.
 func (q *query) outcome(kind FailureKind) Outcome {
 	coverage := q.coverage.Ratio()
@@ -316,17 +241,8 @@
 // drop forgets a query and cancels its open attempts.
 func (s *State) drop(q *query) {
 	delete(s.traffic.queries, q.Request)
-	for n := uint32(1); n <= q.sequence; n++ {
-		a, ok := q.attempts[n]
-		if !ok {
-			continue
-		}
-		s.release(a.server)
-		s.emit(Send{To: a.owner, Event: AttemptCancelled{
-			Attempt: identifier.AttemptID{Request: q.Request, Sequence: n},
-			Server:  a.server,
-		}})
-	}
+	s.returnPermit(q)
+	s.cancelOpen(q)
 }
 
 func (s *State) count(c Counter, customer identifier.CustomerID, rank identifier.Rank) {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -29,6 +30,9 @@
 	order      uint64
 	wake       identifier.Instant
 
+	// suspects are the requests that may crash backend servers.
+	suspects *quarantiner.Quarantiner
+
 	control control
 	traffic traffic
 }
@@ -39,6 +43,7 @@
 		parameters: p,
 		random:     rand.New(rand.NewPCG(0, 0)),
 		wake:       identifier.Never,
+		suspects:   quarantiner.New(),
 		control:    newControl(),
 		traffic:    newTraffic(),
 	}
@@ -60,6 +65,8 @@
 		s.reduceQuery(e)
 	case SlotEvent:
 		s.reduceSlot(e)
+	case QuarantineEvent:
+		s.reduceQuarantine(e)
 	default:
 		panic(fmt.Sprintf("reducer: event of unknown family %T", event))
 	}
@@ -78,6 +85,13 @@
 		s.adoptView(e.View)
 	case PeerDisconnected:
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
+		s.askAgain(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
+	case FingerprintSuspected:
+		s.hearSuspect(e)
+	case FingerprintCrashed:
+		s.hearCrash(e)
+	case FingerprintCleared:
+		s.hearCleared(e.Fingerprint)
 	}
 }
 
@@ -89,6 +103,14 @@
 		s.expireMembers()
 	case queryDue:
 		s.endQueryAtDeadline(t.request)
+	case hedgeDue:
+		s.hedge(t)
+	case retryDue:
+		s.retryWaiting(t)
+	case permitDue:
+		s.passPermit(t.fingerprint)
+	case crashesDue:
+		s.repeatCrashes()
 	case jobDue:
 		s.expireJob(t.server, t.attempt)
 	}
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -122,6 +122,8 @@
 		arrived(10*ms, "q", "lookup"),
 		served(14*ms, "q", 1, "low-1", lowerHalf, snapshot),
 		served(15*ms, "q", 2, "high-1", upperHalf, identifier.Snapshot{Epoch: 1, Version: 8}),
+		{30 * ms, reducer.Woken{}},
+		{60 * ms, reducer.Woken{}},
 	})},
 	{"missing-service", []input{
 		{0, reducer.Started{Seed: 1}},
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -36,6 +36,7 @@
 	case CallRefused:
 		s.endCall(e.Server, e.Attempt, AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: e.Reason})
 	case CallLost:
+		s.noteLoss(e)
 		s.endCall(e.Server, e.Attempt, AttemptLost{Attempt: e.Attempt, Server: e.Server})
 	}
 }
@@ -65,6 +66,10 @@
 		if j == nil {
 			return
 		}
+		if s.holdsBack(account, j) {
+			s.refuse(j.AttemptSubmitted, RefusedSuspect)
+			continue
+		}
 		account.flying[j.Attempt] = j
 		s.require(len(account.flying) <= int(server.Slots), SlotsInvariant, string(server.Server))
 		s.emit(Call{
@@ -156,7 +161,10 @@
 // adoptView takes a view into use and refuses queued attempts of servers that
 // this host no longer gives work to.
 func (s *State) adoptView(v *View) {
+	s.keepPrevious(v)
 	s.traffic.view = v
+	s.adoptServers(v)
+	s.proveCrashes()
 	for _, id := range sortedKeys(s.traffic.slots) {
 		account := s.traffic.slots[id]
 		server, ok := v.Servers[id]
@@ -179,4 +187,5 @@
 		live[h.ID] = true
 	}
 	s.loseAttempts(func(owner identifier.HostID) bool { return !live[owner] })
+	s.askAgain(func(arbiter identifier.HostID) bool { return !live[arbiter] })
 }
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -17,6 +17,21 @@
 	expiryDue struct{}
 	// queryDue ends a query at its deadline.
 	queryDue struct{ request identifier.RequestID }
+	// hedgeDue hedges the slow attempts of a query; at tells it from an older timer.
+	hedgeDue struct {
+		request identifier.RequestID
+		at      identifier.Instant
+	}
+	// retryDue sends the attempt that a shard of a plan waits for.
+	retryDue struct {
+		request identifier.RequestID
+		shard   int
+		replan  int
+	}
+	// permitDue hands on a permit to probe that has ended.
+	permitDue struct{ fingerprint identifier.Fingerprint }
+	// crashesDue tells the other hosts again which requests crashed servers.
+	crashesDue struct{}
 	// jobDue drops a queued attempt at its deadline.
 	jobDue struct {
 		server  identifier.ServerID
@@ -27,6 +42,10 @@
 func (heartbeatDue) isTimer() {}
 func (expiryDue) isTimer()    {}
 func (queryDue) isTimer()     {}
+func (hedgeDue) isTimer()     {}
+func (retryDue) isTimer()     {}
+func (permitDue) isTimer()    {}
+func (crashesDue) isTimer()   {}
 func (jobDue) isTimer()       {}
 
 type scheduled struct {
--- /dev/null
+++ b/pkg/reducer/traffic.go
@@ -0,0 +1,67 @@
+package reducer
+
+import (
+	"github.com/lagooncleat/lagooncleat/pkg/chooser"
+	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/hedger"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/planner"
+	"github.com/lagooncleat/lagooncleat/pkg/throttler"
+)
+
+// Bounds of the retry budget of one service, in attempts.
+const (
+	// RetryBurst is how many retries an idle budget saves up.
+	RetryBurst = 20
+	// RetryReserve is how many retries a budget begins with.
+	RetryReserve = 4
+)
+
+// traffic is the part of a state that the traffic goroutines use.
+type traffic struct {
+	view    *View
+	queries map[identifier.RequestID]*query
+	slots   map[identifier.ServerID]*slots
+	// chooser holds what this state measured of each server.
+	chooser *chooser.Chooser
+	// candidates is the scratch space of a choice.
+	candidates []chooser.Candidate
+	services   map[identifier.ServiceID]*service
+	// plans holds the plan of each customer under the view in use.
+	plans map[identifier.CustomerID]*planner.Plan
+	// previous holds the partitions that a change of epoch has replaced.
+	previous map[identifier.CustomerID]configurer.Partition
+	// held lists the queries with parked shards, by fingerprint.
+	held map[identifier.Fingerprint][]identifier.RequestID
+	// losses holds, as the owner, the calls lost on servers that may have crashed.
+	losses map[identifier.ServerID][]loss
+}
+
+// service is what a state measured of one service, and its budgets of extra attempts.
+type service struct {
+	hedger  *hedger.Hedger
+	retries throttler.Throttler
+}
+
+func newTraffic() traffic {
+	return traffic{
+		view:     &View{},
+		queries:  map[identifier.RequestID]*query{},
+		slots:    map[identifier.ServerID]*slots{},
+		chooser:  chooser.New(),
+		services: map[identifier.ServiceID]*service{},
+		plans:    map[identifier.CustomerID]*planner.Plan{},
+		previous: map[identifier.CustomerID]configurer.Partition{},
+		held:     map[identifier.Fingerprint][]identifier.RequestID{},
+		losses:   map[identifier.ServerID][]loss{},
+	}
+}
+
+func (t *traffic) service(id identifier.ServiceID) *service {
+	known, ok := t.services[id]
+	if !ok {
+		known = &service{hedger: hedger.New(), retries: throttler.New(RetryBurst, RetryReserve)}
+		t.services[id] = known
+	}
+	return known
+}
