--- a/pkg/planner/example_test.go
+++ b/pkg/planner/example_test.go
@@ -19,7 +19,7 @@
 			Holdings: []leaser.Holding{{Epoch: 1, Range: s.Range, Versions: held[i]}},
 		}}
 	}
-	plan := planner.Pin(partition, func(id identifier.ServiceID) []leaser.Announcement { return servers[id] })
+	plan := planner.Pin([]configurer.Partition{partition}, func(id identifier.ServiceID) []leaser.Announcement { return servers[id] })
 	fmt.Println(plan.Snapshot, plan.Servers)
 	// Output: {1 6} [[low-1] [high-1]]
 }
--- a/pkg/reducer/attempt.go
+++ b/pkg/reducer/attempt.go
@@ -79,7 +79,7 @@
 		purpose: p,
 	})
 	s.traffic.chooser.Begin(id)
-	s.account(q, index, p)
+	s.charge(q, index, p)
 	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
 		From:        s.parameters.Host,
 		Attempt:     identifier.AttemptID{Request: q.Request, Sequence: uint32(len(q.attempts))},
@@ -98,8 +98,8 @@
 	return true
 }
 
-// account counts an attempt; a needed one earns its share of the service's budgets.
-func (s *State) account(q *query, index int, p purpose) {
+// charge counts an attempt; a needed one earns its share of the service's budgets.
+func (s *State) charge(q *query, index int, p purpose) {
 	s.count(AttemptsCounter, q.Customer, q.rank)
 	switch p {
 	case needed:
@@ -146,8 +146,8 @@
 	s.finishIfSettled(q)
 }
 
-// endRefused handles an attempt that did not run.
-func (s *State) endRefused(e AttemptRefused) {
+// handleRefused handles an attempt that did not run.
+func (s *State) handleRefused(e AttemptRefused) {
 	q, a := s.takeAttempt(e.Attempt)
 	if a == nil {
 		return
@@ -180,9 +180,9 @@
 	q.shards[a.shard].ran = true
 }
 
-// endLost handles an attempt whose call ended without an answer; it may have run
+// handleLost handles an attempt whose call ended without an answer; it may have run
 // and may have crashed its server.
-func (s *State) endLost(e AttemptLost) {
+func (s *State) handleLost(e AttemptLost) {
 	q, a := s.takeAttempt(e.Attempt)
 	if a == nil {
 		return
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -83,9 +83,9 @@
 	case AttemptServed:
 		s.mergePart(e)
 	case AttemptRefused:
-		s.endRefused(e)
+		s.handleRefused(e)
 	case AttemptLost:
-		s.endLost(e)
+		s.handleLost(e)
 	case ProbeGranted:
 		s.probe(e)
 	}
