--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -35,6 +35,7 @@
 	reducer.ProbeAsked{},
 	reducer.ProbeReturned{},
 	reducer.ProbeGranted{},
+	reducer.QueuesEstimated{},
 }
 
 var tags = indexTags()
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -39,6 +39,9 @@
 	reducer.ProbeAsked{},
 	reducer.ProbeReturned{},
 	reducer.ProbeGranted{},
+	reducer.OwnershipRenewed{},
+	reducer.QueuesEstimated{},
+	reducer.LeaseRenewed{},
 }
 
 // FormatError reports a session file that can't be read.
--- a/pkg/reducer/attempt.go
+++ b/pkg/reducer/attempt.go
@@ -79,6 +79,7 @@
 		purpose: p,
 	})
 	s.traffic.chooser.Begin(id)
+	s.traffic.admitter.Submitted(id, q.rank)
 	s.charge(q, index, p)
 	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
 		From:        s.parameters.Host,
@@ -164,7 +165,7 @@
 		s.retry(q, a, notRunFree)
 	case RefusedSuspect:
 		s.retrySuspect(q, a)
-	case RefusedExpired:
+	case RefusedExpired, RefusedOverloaded:
 		known.hedger.Refuse()
 		s.retry(q, a, notRun)
 	case RefusedByServer:
--- a/pkg/reducer/crash.go
+++ b/pkg/reducer/crash.go
@@ -14,15 +14,15 @@
 // holdsBack reports whether the owner of a server must not run a queued attempt: a
 // suspect request runs only as a probe, and beside no other probe on the server,
 // so that a crash tells which request it was.
-func (s *State) holdsBack(account *slots, j *job) bool {
-	if !j.Probe {
-		return s.suspected(j.Fingerprint)
+func (s *State) holdsBack(a *account, j *job) bool {
+	if !j.Payload.Probe {
+		return s.suspected(j.Payload.Fingerprint)
 	}
-	if s.standing(j.Fingerprint) == quarantiner.Quarantined {
+	if s.standing(j.Payload.Fingerprint) == quarantiner.Quarantined {
 		return true
 	}
-	for _, other := range account.flying {
-		if other.Probe {
+	for _, f := range a.flights {
+		if f.job.Payload.Probe {
 			return true
 		}
 	}
@@ -31,15 +31,16 @@
 
 // noteLoss remembers, as the owner, a call that was lost while it was still wanted.
 func (s *State) noteLoss(e CallLost) {
-	account, ok := s.traffic.slots[e.Server]
+	a, ok := s.traffic.owner.accounts[e.Server]
 	if !ok {
 		return
 	}
-	j, ok := account.flying[e.Attempt]
-	server, known := s.traffic.view.Servers[e.Server]
-	if !ok || j.cancelled || j.Fingerprint == 0 || j.deadline <= s.now {
+	f, ok := a.flights[e.Attempt]
+	if !ok || f.cancelled || f.job.Payload.Fingerprint == 0 || f.job.Deadline <= s.now {
 		return
 	}
+	j := f.job.Payload
+	server, known := s.traffic.view.Servers[e.Server]
 	l := loss{fingerprint: j.Fingerprint, crash: quarantiner.Crash{Server: e.Server, Probe: j.Probe, At: s.now}}
 	if known {
 		l.crash.Incarnation = server.Incarnation
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -192,6 +192,7 @@
 	HedgesWithheldCounter Counter = "hedges-withheld"
 	ProbesCounter         Counter = "probes"
 	ReplansCounter        Counter = "replans"
+	EarlyRefusalsCounter  Counter = "early-refusals"
 
 	// BrokenInvariantsCounter counts invariants found broken; it must stay 0.
 	BrokenInvariantsCounter Counter = "broken-invariants"
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -81,8 +81,10 @@
 	case QueryAbandoned:
 		s.abandon(e.Request)
 	case AttemptServed:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.mergePart(e)
 	case AttemptRefused:
+		s.hearEstimate(e.Server, e.Estimate)
 		s.handleRefused(e)
 	case AttemptLost:
 		s.handleLost(e)
@@ -113,11 +115,15 @@
 		arrival:       s.now,
 		deadline:      s.now.Add(timeout - replyMargin(timeout)),
 		minCoverage:   max(e.MinCoverage, limits.MinCoverage),
+		plan:          s.pin(policy),
 		hedgeTimer:    identifier.Never,
 	}
+	if s.refuseEarly(q) {
+		return
+	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
-	s.scatter(q, s.pin(policy))
+	s.scatter(q, q.plan)
 }
 
 // replyMargin returns the time kept back from a timeout for the reply to travel, in microseconds.
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -86,12 +86,18 @@
 	case PeerDisconnected:
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
 		s.askAgain(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
+		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
+		s.forgetDelays(e.Host)
 	case FingerprintSuspected:
 		s.hearSuspect(e)
 	case FingerprintCrashed:
 		s.hearCrash(e)
 	case FingerprintCleared:
 		s.hearCleared(e.Fingerprint)
+	case OwnershipRenewed:
+		s.renewOwnership(e)
+	case QueuesEstimated:
+		s.hearEstimates(e.Servers)
 	}
 }
 
@@ -111,8 +117,10 @@
 		s.passPermit(t.fingerprint)
 	case crashesDue:
 		s.repeatCrashes()
-	case jobDue:
-		s.expireJob(t.server, t.attempt)
+	case slotDue:
+		s.reviewSlots(t)
+	case estimateDue:
+		s.publishEstimates()
 	}
 }
 
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -32,11 +32,13 @@
 	permitDue struct{ fingerprint identifier.Fingerprint }
 	// crashesDue tells the other hosts again which requests crashed servers.
 	crashesDue struct{}
-	// jobDue drops a queued attempt at its deadline.
-	jobDue struct {
-		server  identifier.ServerID
-		attempt identifier.AttemptID
+	// slotDue looks at a server's queue when a deadline comes or its bound grows.
+	slotDue struct {
+		server identifier.ServerID
+		at     identifier.Instant
 	}
+	// estimateDue publishes the estimates of the queues.
+	estimateDue struct{}
 )
 
 func (heartbeatDue) isTimer() {}
@@ -46,7 +48,8 @@
 func (retryDue) isTimer()     {}
 func (permitDue) isTimer()    {}
 func (crashesDue) isTimer()   {}
-func (jobDue) isTimer()       {}
+func (slotDue) isTimer()      {}
+func (estimateDue) isTimer()  {}
 
 type scheduled struct {
 	at    identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"github.com/lagooncleat/lagooncleat/pkg/admitter"
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/hedger"
@@ -21,7 +22,9 @@
 type traffic struct {
 	view    *View
 	queries map[identifier.RequestID]*query
-	slots   map[identifier.ServerID]*slots
+	owner   owner
+	// admitter knows the queues of the owners that this host submits to.
+	admitter *admitter.Admitter
 	// chooser holds what this state measured of each server.
 	chooser *chooser.Chooser
 	// candidates is the scratch space of a choice.
@@ -47,7 +50,8 @@
 	return traffic{
 		view:     &View{},
 		queries:  map[identifier.RequestID]*query{},
-		slots:    map[identifier.ServerID]*slots{},
+		owner:    newOwner(),
+		admitter: admitter.New(QueueLimit),
 		chooser:  chooser.New(),
 		services: map[identifier.ServiceID]*service{},
 		plans:    map[identifier.CustomerID]*planner.Plan{},
