--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -33,6 +33,7 @@
 	c.Register(&checkCommand{streams: s}, "operate")
 	c.Register(&reportCommand{streams: s}, "operate")
 	c.Register(&statusCommand{streams: s}, "operate")
+	c.Register(&loadCommand{streams: s}, "measure")
 }
 
 // fail prints an error and returns the exit status of a failure.
