--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -70,7 +70,7 @@
 	needed := q.minCoverage * identifier.Ratio(identifier.HashSpace)
 	var width identifier.HashPoint
 	for _, p := range shards {
-		width += q.policy.Ranges[p.shard].Width()
+		width += q.plan.Ranges[p.shard].Width()
 		if identifier.Ratio(width) >= needed {
 			return p
 		}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -7,6 +7,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -30,6 +31,8 @@
 	version  identifier.Version
 	policies map[identifier.CustomerID]*configurer.Policy
 	self     router.Host
+	// arbiter hands out the permits to probe suspect requests.
+	arbiter *quarantiner.Arbiter
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
@@ -45,6 +48,7 @@
 
 func newControl() control {
 	return control{
+		arbiter:   quarantiner.NewArbiter(),
 		leases:    leaser.New(LeaseTerm),
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
@@ -86,6 +90,7 @@
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
 }
 
 func (s *State) reduceMembership(event MembershipEvent) {
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -51,6 +51,7 @@
 	case CallRefused:
 		s.endRefused(e)
 	case CallLost:
+		s.noteLoss(e)
 		s.endLost(e)
 	case LeaseRenewed:
 		s.renewServer(e)
@@ -102,6 +103,10 @@
 		if j == nil {
 			break
 		}
+		if s.holdsBack(a, j) {
+			s.refuse(j.Payload, RefusedSuspect)
+			continue
+		}
 		s.call(server, a, j)
 	}
 	s.scheduleReview(server, a)
@@ -261,7 +266,10 @@
 // this host no longer gives work to.
 func (s *State) adoptView(v *View) {
 	s.adoptTenures(s.traffic.view, v)
+	s.keepPrevious(v)
 	s.traffic.view = v
+	s.adoptServers(v)
+	s.proveCrashes()
 	o := &s.traffic.owner
 	flights := 0
 	for _, id := range sortedKeys(o.accounts) {
@@ -280,6 +288,7 @@
 		live[h] = true
 	}
 	s.loseAttempts(func(owner identifier.HostID) bool { return !live[owner] })
+	s.askAgain(func(arbiter identifier.HostID) bool { return !live[arbiter] })
 	s.dropWorkOf(func(origin identifier.HostID) bool { return !live[origin] })
 }
 
