--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -36,6 +36,13 @@
 	reducer.ProbeReturned{},
 	reducer.ProbeGranted{},
 	reducer.QueuesEstimated{},
+	reducer.ConfigurationWanted{},
+	reducer.RevisionsSent{},
+	reducer.ContentsSent{},
+	reducer.OperationForwarded{},
+	reducer.OperationRedirected{},
+	reducer.OperationAnswered{},
+	reducer.ReplicaMessaged{},
 }
 
 var tags = indexTags()
@@ -86,8 +93,19 @@
 	if err := checkBounds(data[1:]); err != nil {
 		return nil, err
 	}
-	if err := msgpack.Unmarshal(data[1:], target.Interface()); err != nil {
+	if err := unmarshal(data[1:], target.Interface()); err != nil {
 		return nil, fmt.Errorf("encoder: decode %T: %w", tagged[data[0]], err)
 	}
 	return target.Elem().Interface().(reducer.Event), nil
 }
+
+// unmarshal decodes one value. The library panics when a variant stands in the
+// field of an interface that it does not implement; that is an error here.
+func unmarshal(data []byte, target any) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = &UnknownEventError{Detail: fmt.Sprintf("a variant stands in the wrong field: %v", fault)}
+		}
+	}()
+	return msgpack.Unmarshal(data, target)
+}
--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/lagooncleat/lagooncleat/internal/encoder"
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
@@ -18,6 +19,8 @@
 			Snapshot: identifier.Snapshot{Epoch: 1, Version: 2}, Range: identifier.HashRange{To: 5}, Body: []byte("7"),
 		},
 		reducer.ServerRelayed{From: "h-1", Sent: identifier.Instant(identifier.Second)},
+		proposal(reducer.OutcomeRecorded{Intent: intent, Outcome: answered}),
+		answer(reducer.IntentDecided{Decision: deduplicator.Granted{}}),
 	}
 	for _, s := range seeds {
 		data, err := encoder.Encode(s)
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -26,7 +26,7 @@
 
 // NewOperators returns the handler of the operators' interface. The function
 // tells whether the host takes new callers.
-func NewOperators(host identifier.HostID, v Views, m *meter.Meter, ready func() bool) http.Handler {
+func NewOperators(host identifier.HostID, v Views, c Operations, m *meter.Meter, ready func() bool) http.Handler {
 	o := &operators{host: host, views: v, meter: m, ready: ready}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", o.metrics)
@@ -34,6 +34,7 @@
 	mux.HandleFunc("GET /ready", o.readiness)
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /v1/burn", o.burn)
+	(&configuration{host: host, operations: c}).register(mux)
 	return mux
 }
 
@@ -80,7 +81,9 @@
 		Host          identifier.HostID   `json:"host"`
 		Ready         bool                `json:"ready"`
 		Configuration identifier.Version  `json:"configuration-version"`
+		Control       control             `json:"control"`
+		Members       []member            `json:"control-members"`
 		Hosts         []identifier.HostID `json:"hosts"`
 		Servers       []server            `json:"servers"`
-	}{o.host, o.ready(), v.Configuration, hosts, servers})
+	}{o.host, o.ready(), v.Configuration, controlOf(o.host, v.Control), membersOf(v.ControlMembers), hosts, servers})
 }
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -8,6 +8,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
+	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -37,6 +38,20 @@
 	published *View
 	beat      identifier.Instant
 	delays    map[identifier.HostID]identifier.Micros
+
+	// catalog is the newest configuration that this host holds; version and
+	// policies are those in force.
+	catalog *registrar.Catalog
+	// first is the content of the customers file, for an empty registry.
+	first       registrar.Import
+	replicated  replicated
+	operations  operations
+	replication replication
+	startup     startup
+	pulls       int
+	// touched is when this host last heard a control host in touch with its quorum.
+	touched identifier.Instant
+	status  ControlStatus
 }
 
 type hostLease struct {
@@ -54,6 +69,11 @@
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
 		delays:    map[identifier.HostID]identifier.Micros{},
+
+		catalog:     registrar.NewCatalog(),
+		replicated:  newReplicated(),
+		operations:  newOperations(),
+		replication: newReplication(),
 	}
 }
 
@@ -91,6 +111,7 @@
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
+	s.startSpread()
 }
 
 func (s *State) reduceMembership(event MembershipEvent) {
--- a/pkg/reducer/retry.go
+++ b/pkg/reducer/retry.go
@@ -94,6 +94,9 @@
 	if !ok || t.replan != q.replans || !q.shards[t.shard].waiting {
 		return
 	}
+	if s.endIfOverdue(q) {
+		return
+	}
 	q.shards[t.shard].waiting = false
 	q.waiting--
 	s.restart(q, t.shard)
