--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -22,6 +22,8 @@
 	Window = 200 * identifier.Millisecond
 	// firstService is the assumed slot time of a call before any has been measured.
 	firstService = 5 * identifier.Millisecond
+	// outlierFactor bounds what one call adds to a mean, in mean slot times.
+	outlierFactor = 4
 	// serviceWeight is the weight of the past in a mean slot time against one new call.
 	serviceWeight = 15
 	// leastRate is the least share of slot time that a rank is expected to get.
@@ -73,7 +75,8 @@
 	case e.service[r] == 0:
 		e.service[r] = max(span, 1)
 	default:
-		e.service[r] = max((serviceWeight*e.service[r]+span)/(serviceWeight+1), 1)
+		typical := min(span, outlierFactor*e.service[r])
+		e.service[r] = max((serviceWeight*e.service[r]+typical)/(serviceWeight+1), 1)
 	}
 }
 
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -131,9 +131,9 @@
 	ServerRelayed struct {
 		membershipEvent
 		Announcement leaser.Announcement `msgpack:"a"`
-		// From is the host that relays, and Sent the instant by its clock.
-		From identifier.HostID  `msgpack:"f"`
-		Sent identifier.Instant `msgpack:"t"`
+		// From is the host that relays.
+		From  identifier.HostID `msgpack:"f"`
+		Stamp Stamp             `msgpack:"t"`
 	}
 	// HostHeard is another entry host's heartbeat.
 	HostHeard struct {
@@ -141,10 +141,18 @@
 		Host   identifier.HostID   `msgpack:"h"`
 		Domain identifier.DomainID `msgpack:"d"`
 		// Leaving is set by a host that shuts down.
-		Leaving bool `msgpack:"l"`
+		Leaving bool  `msgpack:"l"`
+		Stamp   Stamp `msgpack:"t"`
 	}
 )
 
+// Stamp is when a host sent an event, by its own clock.
+type Stamp struct {
+	// Started is when the host's process started.
+	Started identifier.Instant `msgpack:"p"`
+	Sent    identifier.Instant `msgpack:"t"`
+}
+
 // ConfigurationLoaded replaces all templates and customers by those of a higher version.
 type ConfigurationLoaded struct {
 	configurationEvent
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -33,7 +33,8 @@
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
-	delays    map[identifier.HostID]identifier.Micros
+	started   identifier.Instant
+	delays    map[identifier.HostID]delay
 }
 
 type hostLease struct {
@@ -49,7 +50,7 @@
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
-		delays:    map[identifier.HostID]identifier.Micros{},
+		delays:    map[identifier.HostID]delay{},
 	}
 }
 
@@ -84,6 +85,7 @@
 // startHost begins heartbeats and the search for lapsed leases.
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
+	s.control.started = s.now
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 }
@@ -97,7 +99,7 @@
 	case ServerAnnounced:
 		s.reduceAnnounced(e)
 	case ServerRelayed:
-		s.hearServer(s.now.Add(-s.delayOf(e)), e.Announcement)
+		s.hearServer(s.now.Add(-s.delayOf(e.From, e.Stamp)), e.Announcement)
 	case HostHeard:
 		s.hearHost(e)
 	}
@@ -106,7 +108,7 @@
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
 	s.hearServer(s.now, e.Announcement)
-	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Sent: s.now})
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Stamp: s.stamp()})
 	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
 	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
 }
@@ -120,6 +122,7 @@
 }
 
 func (s *State) hearHost(e HostHeard) {
+	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
@@ -142,6 +145,7 @@
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
+		Stamp:   s.stamp(),
 	})
 	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
--- a/pkg/reducer/ownership.go
+++ b/pkg/reducer/ownership.go
@@ -38,23 +38,29 @@
 	s.emit(Send{To: s.parameters.Host, Event: LeaseRenewed{Server: id, Until: s.control.leases.Expiry(id)}})
 }
 
-// delayOf returns for how long a relayed announcement was on its way beyond the
-// fastest one from the same host, in microseconds. The clocks of the two hosts need not agree: only
-// the difference between their readings counts.
-func (s *State) delayOf(e ServerRelayed) identifier.Micros {
-	offset := s.now.Since(e.Sent)
-	least, ok := s.control.delays[e.From]
-	if !ok || offset < least {
-		s.control.delays[e.From] = offset
-		return 0
-	}
-	return offset - least
+// delay is the least difference seen between the clocks of this host and of
+// one process of another host, which includes the fastest way between them.
+type delay struct {
+	started identifier.Instant
+	least   identifier.Micros
+}
+
+// stamp returns the stamp of an event that this host sends now.
+func (s *State) stamp() Stamp {
+	return Stamp{Started: s.control.started, Sent: s.now}
 }
 
-// forgetDelays drops what was measured of a host's connection that ended; its
-// clock may have been set since.
-func (s *State) forgetDelays(host identifier.HostID) {
-	delete(s.control.delays, host)
+// delayOf returns for how long an event of another host was on its way beyond the
+// fastest one from the same process, in microseconds. The clocks of the two hosts need not
+// agree; neither steps while its process runs.
+func (s *State) delayOf(from identifier.HostID, at Stamp) identifier.Micros {
+	difference := s.now.Since(at.Sent)
+	known, ok := s.control.delays[from]
+	if !ok || known.started != at.Started || difference < known.least {
+		s.control.delays[from] = delay{started: at.Started, least: difference}
+		return 0
+	}
+	return difference - known.least
 }
 
 func (s *State) renewOwnership(e OwnershipRenewed) {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -79,7 +79,6 @@
 	case PeerDisconnected:
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
 		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
-		s.forgetDelays(e.Host)
 	case OwnershipRenewed:
 		s.renewOwnership(e)
 	case QueuesEstimated:
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -198,7 +198,6 @@
 	if f == nil {
 		return
 	}
-	a.queue.Spend(f.job.Rank, f.job.Cost, 0)
 	if e.Reason == RefusedByServer {
 		a.limiter.Shed(s.now, len(a.flights))
 	}
--- a/pkg/reducer/slot_session_test.go
+++ b/pkg/reducer/slot_session_test.go
@@ -142,8 +142,8 @@
 		{2 * ms, reducer.CallLost{Server: "low-1", Attempt: identifier.AttemptID{Request: "runs", Sequence: 1}}},
 	})},
 	{"delayed-relay", session([]input{
-		{1000 * ms, reducer.ServerRelayed{From: "h-2", Sent: 995 * ms, Announcement: renewed(0, 2, 1, leaser.Serving).event.(reducer.ServerAnnounced).Announcement}},
-		{2700 * ms, reducer.ServerRelayed{From: "h-2", Sent: 1095 * ms, Announcement: renewed(0, 3, 1, leaser.Serving).event.(reducer.ServerAnnounced).Announcement}},
+		{1000 * ms, reducer.ServerRelayed{From: "h-2", Stamp: reducer.Stamp{Sent: 995 * ms}, Announcement: renewed(0, 2, 1, leaser.Serving).event.(reducer.ServerAnnounced).Announcement}},
+		{2700 * ms, reducer.ServerRelayed{From: "h-2", Stamp: reducer.Stamp{Sent: 1095 * ms}, Announcement: renewed(0, 3, 1, leaser.Serving).event.(reducer.ServerAnnounced).Announcement}},
 		{2950 * ms, reducer.Woken{}},
 	})},
 	{"early-refusal", session([]input{
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -40,6 +40,9 @@
 	starvationFactor = 10
 	// firstCost is the assumed slot time of a job before any has been measured.
 	firstCost = 5 * identifier.Millisecond
+	// outlierFactor bounds what one job adds to the mean cost, in mean costs; a host that
+	// slept saw its calls last for as long.
+	outlierFactor = 4
 	// costWeight is the weight of the past in the mean cost against one new job.
 	costWeight = 15
 )
@@ -200,11 +203,14 @@
 	}
 }
 
-// Spend corrects the charge for a job by the slot time that it took, in microseconds.
+// Spend corrects the charge for a job by the slot time that it took, in
+// microseconds. The charge for a job that the server refused stays as it is, so that a server
+// that refuses all its work still gets work of every rank.
 func (s *Scheduler[T]) Spend(rank identifier.Rank, charged, spent identifier.Micros) {
 	s.charge(rank, spent-charged)
 	s.earned[rank] = max(s.earned[rank], -maxEarned*s.costs[rank])
-	s.costs[rank] = max((costWeight*s.costs[rank]+spent)/(costWeight+1), 1)
+	typical := min(spent, outlierFactor*s.costs[rank])
+	s.costs[rank] = max((costWeight*s.costs[rank]+typical)/(costWeight+1), 1)
 }
 
 // Starved reports whether a rank has waited for much longer than its floor allows.
