internal/caller: cancel calls by attempt id and keep the connection

Cause: a cancelled call closed its connection, and the next call paid for a new one, 6 ms at most services. The deadline closed it too, although the server gets the deadline and ends the work by itself.

Ruled out: leaving cancelled calls to run, which keeps their slots.

Change: POST /v1/cancellations with the attempt id, in the caller and the fake backend server.

Conclusion: cancellation frees the slot and keeps the connection.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -70,13 +70,7 @@
 	if err != nil {
 		return refused(call, reducer.RefusedByServer)
 	}
-	url := fmt.Sprintf("http://%s/v1/attempts", call.Address)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return refused(call, reducer.RefusedUnreachable)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := c.client(call).Do(request)
+	response, err := c.post(ctx, call, "attempts", body)
 	if err != nil {
 		return failed(call, err)
 	}
@@ -84,6 +78,52 @@
 	return readResult(call, response)
 }
 
+// UnknownAttemptError reports that the backend server neither queues nor runs an attempt.
+type UnknownAttemptError struct {
+	Status int
+}
+
+// Error gives the status that the backend server answered with.
+func (e *UnknownAttemptError) Error() string {
+	return fmt.Sprintf("caller: cancellation answered with status %d", e.Status)
+}
+
+// Cancel asks the backend server of a call to end it by its attempt id, which
+// keeps the call's connection open; Do then returns. It returns an *UnknownAttemptError when the
+// server does not know the attempt.
+func (c *Caller) Cancel(ctx context.Context, call reducer.Call) error {
+	body, err := json.Marshal(struct {
+		Attempt string `json:"attempt"`
+	}{call.Attempt.String()})
+	if err != nil {
+		return fmt.Errorf("caller: encode cancellation: %w", err)
+	}
+	response, err := c.post(ctx, call, "cancellations", body)
+	if err != nil {
+		return fmt.Errorf("caller: cancel %s: %w", call.Attempt, err)
+	}
+	defer response.Body.Close()
+	// An unread body would keep the connection from being used again.
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxPart)); err != nil {
+		return fmt.Errorf("caller: cancel %s: %w", call.Attempt, err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return &UnknownAttemptError{Status: response.StatusCode}
+	}
+	return nil
+}
+
+// post sends a body to a resource of the call's backend server.
+func (c *Caller) post(ctx context.Context, call reducer.Call, resource string, body []byte) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s/v1/%s", call.Address, resource)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return c.client(call).Do(request)
+}
+
 func (c *Caller) client(call reducer.Call) *http.Client {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -1,12 +1,10 @@
 package executor
 
 import (
-	"context"
 	"fmt"
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -55,30 +53,6 @@
 	}
 }
 
-// call runs a call on its own goroutine; the result comes back as an event.
-func (h *Host) call(e reducer.Call) {
-	remaining := e.Deadline.Since(h.clock.now())
-	ctx, cancel := context.WithTimeout(h.context, remaining.Duration())
-	h.mutex.Lock()
-	h.calls[e.Attempt] = cancel
-	h.mutex.Unlock()
-	h.group.Go(func() {
-		result := h.dependencies.Caller.Do(ctx, e, remaining)
-		h.cancelCall(e.Attempt)
-		h.Deliver(result)
-	})
-}
-
-func (h *Host) cancelCall(id identifier.AttemptID) {
-	h.mutex.Lock()
-	cancel, ok := h.calls[id]
-	delete(h.calls, id)
-	h.mutex.Unlock()
-	if ok {
-		cancel()
-	}
-}
-
 func (h *Host) log(e reducer.Log) {
 	fields := make([]any, 0, 2*len(e.Fields))
 	for _, f := range e.Fields {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -33,6 +33,8 @@
 // Caller runs calls on backend servers.
 type Caller interface {
 	Do(ctx context.Context, call reducer.Call, remaining identifier.Micros) reducer.SlotEvent
+	// Cancel asks the backend server to end a call; Do returns soon after it succeeds.
+	Cancel(ctx context.Context, call reducer.Call) error
 }
 
 // Counters counts what happens.
@@ -84,7 +86,7 @@
 	mutex   sync.Mutex
 	queries map[identifier.RequestID]chan reducer.Outcome
 	leases  map[reducer.Ticket]chan Lease
-	calls   map[identifier.AttemptID]context.CancelFunc
+	calls   map[identifier.AttemptID]flight
 }
 
 // New returns a Host that has not started.
@@ -98,7 +100,7 @@
 		cancel:       cancel,
 		queries:      map[identifier.RequestID]chan reducer.Outcome{},
 		leases:       map[reducer.Ticket]chan Lease{},
-		calls:        map[identifier.AttemptID]context.CancelFunc{},
+		calls:        map[identifier.AttemptID]flight{},
 	}
 	h.view.Store(&reducer.View{})
 	h.control = newLoop(h)
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -85,6 +85,8 @@
 	random   *rand.Rand
 	conduct  Conduct
 	holdings []leaser.Holding
+	// cancels ends the attempts that wait or run, by attempt id.
+	cancels  map[string]context.CancelFunc
 	waiting  int
 	sequence identifier.Sequence
 	tally    Tally
@@ -131,6 +133,7 @@
 		cancel:     cancel,
 		random:     rand.New(rand.NewPCG(p.Seed, 1)),
 		holdings:   p.Holdings,
+		cancels:    map[string]context.CancelFunc{},
 	}
 	if err := s.listen(p.Listen); err != nil {
 		cancel()
@@ -148,6 +151,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/attempts", s.attempt)
+	mux.HandleFunc("POST /v1/cancellations", s.cancelAttempt)
 	server := &http.Server{Handler: mux, ConnState: s.countConnections}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -241,7 +245,7 @@
 		s.refuse(w, kind)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), body.Remaining.Duration())
+	ctx, cancel := s.cancellable(r, body)
 	defer cancel()
 	if !s.takeSlot(ctx) {
 		s.refuse(w, "not-run")
