--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -31,6 +31,8 @@
 	c.Register(&serveCommand{streams: s}, "run")
 	c.Register(&demoCommand{streams: s}, "run")
 	c.Register(&checkCommand{streams: s}, "operate")
+	c.Register(&reportCommand{streams: s}, "operate")
+	c.Register(&statusCommand{streams: s}, "operate")
 	c.Register(&loadCommand{streams: s}, "measure")
 }
 
--- a/internal/caller/caller_suite_test.go
+++ b/pkg/hedger/hedger_suite_test.go
@@ -1,4 +1,4 @@
-package caller_test
+package hedger_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"github.com/onsi/gomega"
 )
 
-func TestCaller(t *testing.T) {
+func TestHedger(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "caller")
+	ginkgo.RunSpecs(t, "hedger")
 }
