pkg/admitter: refuse early by short queues, and follow measured rates

Cause: with the chance of refusal rising from half of the time left to all of it, queues stood at nine tenths of the deadline in a flood of urgent work; the hardest of ten parts then came too late, and the slots of the other nine were wasted. Least own work in flight counted deferrable attempts that urgent ones pass. Floors that add up to 1 were scaled to 0.9. The time that calls and results are on their way counted as free slots, so lower ranks seemed to be served faster than their floors.

Change: refusals begin at a pressure of 0.1 and are certain at 0.4; the chooser counts own attempts of ranks that go before; shares add up to 1 while work waits; one urgent call beyond the slots waits at the server once two urgent jobs a slot wait in the queue, never after the server has shed of late.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -29,9 +29,9 @@
 	// the server counts as idle, so that work goes there and brings a new one.
 	EstimateTerm = 300 * identifier.Millisecond
 	// easyPressure is the pressure up to which every query is admitted.
-	easyPressure = 0.5
+	easyPressure = 0.1
 	// fullPressure is the pressure from which every query is refused.
-	fullPressure = 1.0
+	fullPressure = 0.4
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
 )
@@ -120,20 +120,13 @@
 	return max(float64(h.estimate.Wait(r, h.submitted[r]))/float64(room), full)
 }
 
-// Wait returns the time until the least loaded of the servers gets to new work
-// of the rank, in microseconds.
-func (a *Admitter) Wait(now identifier.Instant, servers []identifier.ServerID, r identifier.Rank) identifier.Micros {
-	var least identifier.Micros
-	for i, id := range servers {
-		var wait identifier.Micros
-		if h, ok := a.servers[id]; ok && now.Since(h.at) <= EstimateTerm {
-			wait = h.estimate.Wait(r, h.submitted[r])
-		}
-		if i == 0 || wait < least {
-			least = wait
-		}
+// Wait returns the time until the server gets to new work of the rank, in microseconds.
+func (a *Admitter) Wait(now identifier.Instant, id identifier.ServerID, r identifier.Rank) identifier.Micros {
+	h, ok := a.servers[id]
+	if !ok || now.Since(h.at) > EstimateTerm {
+		return 0
 	}
-	return least
+	return h.estimate.Wait(r, h.submitted[r])
 }
 
 // Chance returns the probability of a refusal at the pressure, from 0 to 1.
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -1,8 +1,9 @@
 // Package chooser picks the backend server for an attempt by what its own entry
 // host measured.
 //
-// The cost of a server is its expected time: own attempts in flight and the new
-// one, times the service time, plus the distance. Three weights raise it: slowness beyond the
+// The cost of a server is its expected time: own attempts in flight that go before
+// the new one, and the new one, times the service time, plus the distance. Attempts of less
+// urgent ranks don't count: the owner lets the new one pass them. Three weights raise it: slowness beyond the
 // servers of the same service, a cold start, and failures, after which the
 // server is left alone for a time that doubles. A server that is slow or fails
 // gets single probes, so that its recovery shows. A cold server takes a tenth of
@@ -45,6 +46,8 @@
 	Incarnation identifier.Incarnation
 	// Starting is set while the server says that its caches are cold.
 	Starting bool
+	// Rank is the rank of the attempt.
+	Rank identifier.Rank
 }
 
 // Chooser holds the measurements of one state. It is not safe for concurrent use.
@@ -67,15 +70,18 @@
 	return r
 }
 
-// Begin counts an attempt sent to the server.
-func (c *Chooser) Begin(id identifier.ServerID) {
-	c.record(id).outstanding++
+// Begin counts an attempt of the rank sent to the server.
+func (c *Chooser) Begin(id identifier.ServerID, rank identifier.Rank) {
+	r := c.record(id)
+	r.outstanding++
+	r.ranks[rank]++
 }
 
 // End counts an attempt that is no longer in flight, whatever its result.
-func (c *Chooser) End(id identifier.ServerID) {
+func (c *Chooser) End(id identifier.ServerID, rank identifier.Rank) {
 	r := c.record(id)
 	r.outstanding = max(0, r.outstanding-1)
+	r.ranks[rank] = max(0, r.ranks[rank]-1)
 }
 
 // Outstanding returns the own attempts in flight on the server.
@@ -159,7 +165,7 @@
 	for i := range candidates {
 		r := c.record(candidates[i].Server)
 		if r.incarnation != candidates[i].Incarnation {
-			*r = record{incarnation: candidates[i].Incarnation, outstanding: r.outstanding}
+			*r = record{incarnation: candidates[i].Incarnation, outstanding: r.outstanding, ranks: r.ranks}
 		}
 		if r.estimate > 0 && (base.estimate == 0 || r.estimate < base.estimate) {
 			base.estimate = r.estimate
@@ -187,7 +193,7 @@
 func (c *Chooser) cost(now identifier.Instant, candidate *Candidate, base survey) float64 {
 	r := c.records[candidate.Server]
 	slowness := r.slowness(now, base.estimate)
-	cost := base.estimate * max(1, slowness/tolerance) * float64(r.outstanding+1)
+	cost := base.estimate * max(1, slowness/tolerance) * float64(r.ahead(candidate.Rank)+1)
 	if floor := r.least(); floor > 0 {
 		cost += float64(floor - base.floor)
 	}
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -25,6 +25,8 @@
 type record struct {
 	incarnation identifier.Incarnation
 	outstanding int
+	// ranks counts the outstanding attempts by rank.
+	ranks [identifier.RankCount]int
 	// estimate is the moving average of latencies, in microseconds; 0 is none.
 	estimate float64
 	measured identifier.Instant
@@ -37,6 +39,15 @@
 	blockedUntil     identifier.Instant
 }
 
+// ahead returns how many outstanding attempts go before a new one of the rank.
+func (r *record) ahead(rank identifier.Rank) int {
+	count := 0
+	for _, n := range r.ranks[:rank+1] {
+		count += n
+	}
+	return count
+}
+
 // sample takes a latency into the estimate.
 func (r *record) sample(now identifier.Instant, latency identifier.Micros) {
 	weight := max(sampleWeight, 1/float64(r.served+1))
--- a/pkg/estimator/estimator.go
+++ b/pkg/estimator/estimator.go
@@ -103,32 +103,54 @@
 	e.start = now
 }
 
-// share returns the part of all slot time that a rank used of late, from 0 to 1.
-func (e *Estimator) share(now identifier.Instant, r identifier.Rank, slots int) identifier.Ratio {
+// shares returns the part of all slot time that each rank used of late, from 0 to 1. When
+// work waits, no slot stands free for long: then the shares add up to 1, since what
+// is missing is the time that calls and results are on their way.
+func (e *Estimator) shares(now identifier.Instant, slots int, waits bool) [identifier.RankCount]identifier.Ratio {
 	past := now.Since(e.start)
-	used := float64(e.current[r]) + float64(e.previous[r])*float64(Window-past)/float64(Window)
-	return identifier.Ratio(min(used/float64(Window)/float64(slots), 1))
+	var shares [identifier.RankCount]identifier.Ratio
+	var sum identifier.Ratio
+	for r := range shares {
+		used := float64(e.current[r]) + float64(e.previous[r])*float64(Window-past)/float64(Window)
+		shares[r] = identifier.Ratio(used / float64(Window) / float64(slots))
+		sum += shares[r]
+	}
+	if sum > 1 || (waits && sum > 0) {
+		for r := range shares {
+			shares[r] /= sum
+		}
+	}
+	return shares
 }
 
 // Estimate returns the estimate for a server with so many slots, the jobs that
 // wait and the floors, both by rank. A rank is served at its floor, or by what more
-// urgent ranks leave when that is more.
+// urgent ranks, and less urgent ones within their floors, leave when that is more.
 func (e *Estimator) Estimate(
 	now identifier.Instant, slots int,
 	backlog [identifier.RankCount]int, floors [identifier.RankCount]identifier.Ratio,
 ) Estimate {
 	e.roll(now)
+	slots = max(slots, 1)
+	shares := e.shares(now, slots, slices.Max(backlog[:]) > 0)
 	estimate := Estimate{Service: e.slowest()}
-	left := identifier.Ratio(1)
 	for r := range estimate.Backlog {
-		rate := float64(max(left, floors[r], leastRate))
-		estimate.Backlog[r] = uint32(backlog[r])
+		left := identifier.Ratio(1)
+		for other, share := range shares {
+			switch {
+			case other < r:
+				left -= share
+			case other > r:
+				left -= min(share, floors[other])
+			}
+		}
 		service := e.service[r]
 		if service == 0 {
 			service = estimate.Service
 		}
-		estimate.Step[r] = identifier.Micros(float64(service) / (rate * float64(max(slots, 1))))
-		left -= e.share(now, identifier.Rank(r), max(slots, 1))
+		rate := float64(max(left, floors[r], leastRate))
+		estimate.Backlog[r] = uint32(backlog[r])
+		estimate.Step[r] = identifier.Micros(float64(service) / (rate * float64(slots)))
 	}
 	return estimate
 }
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -21,6 +21,10 @@
 const (
 	// GrowthInterval is the time after which a lowered bound grows by one slot.
 	GrowthInterval = 100 * identifier.Millisecond
+	// MaxExtra is how many calls beyond its slots a server may be given to keep waiting.
+	MaxExtra = 1
+	// extraPause is for how long a server that has shed gets no calls beyond its slots.
+	extraPause = 10 * identifier.Second
 	// least is the bound that is never undercut, so that a server is tried again.
 	least identifier.Slots = 1
 )
@@ -32,6 +36,8 @@
 	from identifier.Instant
 	// lowered is false while the bound is the server's slots.
 	lowered bool
+	// exact is until when no call beyond the slots is made.
+	exact identifier.Instant
 }
 
 // New returns a Limiter whose bound is the server's slots.
@@ -51,6 +57,16 @@
 	l.base = max(identifier.Slots(inFlight), least)
 	l.from = max(l.from, now)
 	l.lowered = true
+	l.exact = now.Add(extraPause)
+}
+
+// Extra returns how many calls beyond the bound may wait at the server itself: MaxExtra,
+// or 0 while the bound is lowered or the server has shed of late.
+func (l *Limiter) Extra(now identifier.Instant) int {
+	if l.lowered || now < l.exact {
+		return 0
+	}
+	return MaxExtra
 }
 
 // Limit returns how many calls may be in flight on a server of so many slots.
--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -55,7 +55,11 @@
 		return 0, 0
 	}
 	needed := s.hardestNeeded(q, shards)
-	return needed.pressure, s.traffic.admitter.Wait(s.now, q.plan.Servers[needed.shard], q.rank)
+	wait := identifier.Micros(0)
+	for _, id := range q.plan.Servers[needed.shard] {
+		wait = max(wait, s.traffic.admitter.Wait(s.now, id, q.rank))
+	}
+	return needed.pressure, wait
 }
 
 // hardestNeeded returns the hardest shard of the easiest ones that reach the
--- a/pkg/reducer/attempt.go
+++ b/pkg/reducer/attempt.go
@@ -78,7 +78,7 @@
 		open:    true,
 		purpose: p,
 	})
-	s.traffic.chooser.Begin(id)
+	s.traffic.chooser.Begin(id, q.rank)
 	s.traffic.admitter.Submitted(id, q.rank)
 	s.charge(q, index, p)
 	s.emit(Send{To: server.Owner, Event: AttemptSubmitted{
@@ -231,7 +231,7 @@
 	if a.purpose == probing {
 		q.probing = false
 	}
-	s.traffic.chooser.End(a.server)
+	s.traffic.chooser.End(a.server, q.rank)
 }
 
 // cancelRivals cancels the other attempts for a shard that has its part.
--- a/pkg/reducer/choice.go
+++ b/pkg/reducer/choice.go
@@ -29,6 +29,7 @@
 			Server:      id,
 			Incarnation: server.Incarnation,
 			Starting:    server.State == leaser.Starting,
+			Rank:        q.rank,
 		})
 	}
 	s.traffic.candidates = candidates
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -2,15 +2,22 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/limiter"
 	"github.com/lagooncleat/lagooncleat/pkg/scheduler"
 )
 
-// QueueLimit bounds the jobs of one rank that wait for one server.
-const QueueLimit = 512
+const (
+	// QueueLimit bounds the jobs of one rank that wait for one server.
+	QueueLimit = 512
+	// overcommitBacklog is how many urgent jobs for each slot must wait before one more
+	// call than slots is made.
+	overcommitBacklog = 2
+)
 
 // Invariants of the owner's side.
 const (
-	// SlotsInvariant says that an owner never has more calls in flight on a server than its slots.
+	// SlotsInvariant says that an owner never has more calls in flight on a server than
+	// its slots and the one that may wait at the server.
 	SlotsInvariant Invariant = "calls-within-slots"
 	// BalanceInvariant says that each call holds one slot until it ends.
 	BalanceInvariant Invariant = "calls-balance"
@@ -98,11 +105,13 @@
 	if !s.confirmed() {
 		return
 	}
-	for len(a.flights) < a.limiter.Limit(s.now, server.Slots) {
-		j := a.queue.Next()
-		if j == nil {
+	limit := a.limiter.Limit(s.now, server.Slots)
+	for {
+		rank, ok := a.queue.NextRank()
+		if !ok || len(a.flights) >= limit+s.overcommit(server, a, rank) {
 			break
 		}
+		j := a.queue.Next()
 		if s.holdsBack(a, j) {
 			s.refuse(j.Payload, RefusedSuspect)
 			continue
@@ -112,6 +121,17 @@
 	s.scheduleReview(server, a)
 }
 
+// overcommit returns how many more calls than slots the server is given: in a flood of
+// urgent work, one waits at the server itself, so that no slot stands free while a
+// result and the next call are on their way. Work of other ranks is not committed
+// early, since urgent work may come before a slot is free.
+func (s *State) overcommit(server *Server, a *account, r identifier.Rank) int {
+	if r != identifier.Urgent || a.queue.Length(r) < overcommitBacklog*int(server.Slots) {
+		return 0
+	}
+	return a.limiter.Extra(s.now)
+}
+
 // call gives a slot to a job.
 func (s *State) call(server *Server, a *account, j *job) {
 	a.flights[j.ID] = &flight{job: j, started: s.now}
@@ -135,7 +155,7 @@
 // requireCall checks the invariants of a call that is about to start.
 func (s *State) requireCall(server *Server, a *account) {
 	id := string(server.Server)
-	s.require(len(a.flights) <= int(server.Slots), SlotsInvariant, id)
+	s.require(len(a.flights) <= int(server.Slots)+limiter.MaxExtra, SlotsInvariant, id)
 	_, owned := s.owns(server.Server)
 	s.require(owned && s.confirmed(), LeaseInvariant, id)
 	for r := range identifier.Rank(identifier.RankCount) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 	// DefaultFloor is the floor of a rank whose policy sets none.
 	DefaultFloor identifier.Ratio = 0.1
 	// maxFloors bounds the sum of all floors; larger floors are scaled down to it.
-	maxFloors identifier.Ratio = 0.9
+	maxFloors identifier.Ratio = 1
 	// maxEarned bounds what a rank saves up, in jobs.
 	maxEarned = 2
 	// starvationFactor is how many times the slot time between two jobs at the floor
@@ -170,6 +170,12 @@
 	s.passed[rank] = 0
 }
 
+// NextRank returns the rank of the job that goes next; it reports false when none waits.
+func (s *Scheduler[T]) NextRank() (identifier.Rank, bool) {
+	rank, _ := s.pick()
+	return rank, len(s.queues[rank]) > 0
+}
+
 // pick returns the rank that goes next, and whether it goes by its floor.
 func (s *Scheduler[T]) pick() (identifier.Rank, bool) {
 	var best identifier.Rank
