pkg/reducer: hand servers over faster when their owner leaves

Cause: a new owner kept to one call for 1 s also after a graceful shutdown, in which the old owner gives out no more slots.

Change: 100 ms then; 1 s stays for an owner that fell silent. Sessions for handover, the own shutdown (in-flight calls end and are answered, queued work is refused as not run) and takeover after silence.

Conclusion: graceful shutdown costs less capacity.

--- a/pkg/reducer/ownership.go
+++ b/pkg/reducer/ownership.go
@@ -1,13 +1,21 @@
 package reducer
 
 import (
+	"slices"
+
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 )
 
-// TakeoverGrace is how long a new owner of a server keeps to one call there,
-// since calls of the previous owner may still run.
-const TakeoverGrace = HostTimeout
+// Spans of a change of owner.
+const (
+	// TakeoverGrace is how long a new owner of a server keeps to one call there when
+	// the previous owner fell silent: it may be cut off and still give out slots.
+	TakeoverGrace = HostTimeout
+	// HandoverGrace is how long it does so when the previous owner leaves: that one
+	// gives out no more slots, but its last calls may still run.
+	HandoverGrace = 100 * identifier.Millisecond
+)
 
 // LeaseInvariant says that no call goes to a server that drains, whose lease has
 // lapsed, or that this host may not act as the owner of.
@@ -103,7 +111,11 @@
 		if server.Owner != s.parameters.Host || !known || before.Owner == s.parameters.Host {
 			continue
 		}
-		t := tenure{lease: server.Expires, cautious: s.now.Add(TakeoverGrace)}
+		grace := TakeoverGrace
+		if slices.Contains(next.Leaving, before.Owner) {
+			grace = HandoverGrace
+		}
+		t := tenure{lease: server.Expires, cautious: s.now.Add(grace)}
 		o.tenures[id] = t
 		if a, ok := o.accounts[id]; ok {
 			a.limiter.Restrict(t.cautious)
--- a/pkg/reducer/slot_session_test.go
+++ b/pkg/reducer/slot_session_test.go
@@ -18,6 +18,13 @@
 	}}
 }
 
+// own makes an attempt one of this host's.
+func own(i input) input {
+	e := i.event.(reducer.AttemptSubmitted)
+	e.From = "h-1"
+	return input{i.at, e}
+}
+
 // ended is the answer of low-1 to such an attempt.
 func ended(at identifier.Instant, request identifier.RequestID) input {
 	return served(at, request, 1, "low-1", lowerHalf, snapshot)
@@ -78,17 +85,35 @@
 		ended(9*ms, "next"),
 	})},
 	{"owner-takeover", session([]input{
+		renewed(0, 2, 3, leaser.Serving),
+		heard(1*ms, "fd-1", false),
+		renewed(900*ms, 3, 3, leaser.Serving),
+		{950 * ms, reducer.Woken{}},
+		{1001 * ms, reducer.Woken{}},
+		own(submitted(1002*ms, "first", identifier.Urgent, 5000*ms)),
+		own(submitted(1002*ms, "second", identifier.Urgent, 5000*ms)),
+		own(submitted(1002*ms, "third", identifier.Urgent, 5000*ms)),
+		{1500 * ms, reducer.Woken{}},
+		renewed(1700*ms, 4, 3, leaser.Serving),
+		{1900 * ms, reducer.Woken{}},
+		{2101 * ms, reducer.Woken{}},
+		{2201 * ms, reducer.Woken{}},
+	})},
+	{"owner-handover", session([]input{
 		renewed(0, 2, 3, leaser.Serving),
 		heard(1*ms, "fd-1", false),
 		heard(2*ms, "fd-1", true),
 		submitted(3*ms, "first", identifier.Urgent, 5000*ms),
 		submitted(3*ms, "second", identifier.Urgent, 5000*ms),
-		submitted(3*ms, "third", identifier.Urgent, 5000*ms),
-		{200 * ms, reducer.Woken{}},
-		renewed(900*ms, 3, 3, leaser.Serving),
-		{950 * ms, reducer.Woken{}},
-		{1102 * ms, reducer.Woken{}},
-		{1202 * ms, reducer.Woken{}},
+		{202 * ms, reducer.Woken{}},
+	})},
+	{"own-shutdown", session([]input{
+		heard(0, "fd-2", false),
+		submitted(1*ms, "runs", identifier.Urgent, 100*ms),
+		submitted(1*ms, "waits", identifier.Urgent, 100*ms),
+		{2 * ms, reducer.HostLeaving{}},
+		submitted(3*ms, "late", identifier.Urgent, 100*ms),
+		ended(4*ms, "runs"),
 	})},
 	{"leaving-owner", session([]input{
 		heard(1*ms, "fd-1", false),
