--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -18,9 +18,9 @@
 			Attempt: identifier.AttemptID{Request: "q", Sequence: 1}, Server: "s-1",
 			Snapshot: identifier.Snapshot{Epoch: 1, Version: 2}, Range: identifier.HashRange{To: 5}, Body: []byte("7"),
 		},
-		reducer.ServerRelayed{From: "h-1", Sent: identifier.Instant(identifier.Second)},
 		proposal(reducer.OutcomeRecorded{Intent: intent, Outcome: answered}),
 		answer(reducer.IntentDecided{Decision: deduplicator.Granted{}}),
+		reducer.ServerRelayed{From: "h-1", Stamp: reducer.Stamp{Sent: identifier.Instant(identifier.Second)}},
 	}
 	for _, s := range seeds {
 		data, err := encoder.Encode(s)
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -37,7 +37,6 @@
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
-	delays    map[identifier.HostID]identifier.Micros
 
 	// catalog is the newest configuration that this host holds; version and
 	// policies are those in force.
@@ -52,6 +51,8 @@
 	// touched is when this host last heard a control host in touch with its quorum.
 	touched identifier.Instant
 	status  ControlStatus
+	started identifier.Instant
+	delays  map[identifier.HostID]delay
 }
 
 type hostLease struct {
@@ -68,12 +69,12 @@
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
-		delays:    map[identifier.HostID]identifier.Micros{},
 
 		catalog:     registrar.NewCatalog(),
 		replicated:  newReplicated(),
 		operations:  newOperations(),
 		replication: newReplication(),
+		delays:      map[identifier.HostID]delay{},
 	}
 }
 
@@ -108,6 +109,7 @@
 // startHost begins heartbeats and the search for lapsed leases.
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
+	s.control.started = s.now
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
@@ -123,7 +125,7 @@
 	case ServerAnnounced:
 		s.reduceAnnounced(e)
 	case ServerRelayed:
-		s.hearServer(s.now.Add(-s.delayOf(e)), e.Announcement)
+		s.hearServer(s.now.Add(-s.delayOf(e.From, e.Stamp)), e.Announcement)
 	case HostHeard:
 		s.hearHost(e)
 	}
@@ -132,7 +134,7 @@
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
 	s.hearServer(s.now, e.Announcement)
-	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Sent: s.now})
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Stamp: s.stamp()})
 	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
 	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
 }
@@ -146,6 +148,7 @@
 }
 
 func (s *State) hearHost(e HostHeard) {
+	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
@@ -168,6 +171,7 @@
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
+		Stamp:   s.stamp(),
 	})
 	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
