pkg/reducer: record sessions of hedges, retries, replans, probes and cuts

Cause: each mechanism needs a golden file; reading them showed four faults. Each shows in a session here. Change: replan at once, typed end of quarantined queries, no attempt at the deadline, plans take in the servers of the present view.

--- a/pkg/reducer/attempt.go
+++ b/pkg/reducer/attempt.go
@@ -55,10 +55,10 @@
 }
 
 // submit sends an attempt for a shard to the owner of one of its servers. It
-// reports false when no server may take it.
+// reports false when no server may take it or the deadline has come.
 func (s *State) submit(q *query, index int, p purpose) bool {
 	id, ok := s.choose(q, index, p)
-	if !ok {
+	if !ok || s.now >= q.deadline {
 		return false
 	}
 	sh := &q.shards[index]
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -138,6 +138,14 @@
 	Quarantined FailureKind = "quarantined"
 )
 
+// message explains the failure of a query that was admitted.
+func (k FailureKind) message() string {
+	if k == Quarantined {
+		return "the request has crashed the backend servers that ran it"
+	}
+	return "the answer is less complete than the customer requires"
+}
+
 // Ran tells whether any part of a failed query ran on a backend server.
 type Ran string
 
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -39,6 +39,7 @@
 		return
 	}
 	q.hedgeTimer = identifier.Never
+	s.refresh(q)
 	for i := range q.attempts {
 		if q.attempts[i].open && q.attempts[i].hedgeAt <= s.now {
 			s.hedgeAttempt(q, i)
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -177,10 +177,18 @@
 		return
 	}
 	if q.coverage.Complete() || q.open+q.waiting+q.parked == 0 {
-		s.finish(q, CoverageTooLow)
+		s.finish(q, s.settledKind(q))
 	}
 }
 
+// settledKind returns how a query fails that has nothing left to wait for.
+func (s *State) settledKind(q *query) FailureKind {
+	if s.standing(q.Fingerprint) == quarantiner.Quarantined {
+		return Quarantined
+	}
+	return CoverageTooLow
+}
+
 // endQueryAtDeadline ends a query with what it has. Until then it waits for every
 // shard, even when its least coverage is met: a more complete answer in time is
 // worth more than an early one.
@@ -234,7 +242,7 @@
 		Kind:     kind,
 		Ran:      ran,
 		Coverage: coverage,
-		Message:  "the answer is less complete than the customer requires",
+		Message:  kind.message(),
 	}
 }
 
--- a/pkg/reducer/replan.go
+++ b/pkg/reducer/replan.go
@@ -33,10 +33,6 @@
 // snapshot is kept. Work that must not run twice starts over only if none of it may have run.
 func (s *State) replan(q *query) bool {
 	plan := s.pin(s.currentPolicy(q))
-	if plan.Snapshot == q.plan.Snapshot && len(plan.Shards) == len(q.plan.Shards) {
-		q.plan = plan
-		return false
-	}
 	mayRun := q.Repeatable || (!q.ran && q.open == 0)
 	if !mayRun || q.replans >= MaxReplans || !plan.NewerThan(q.plan.Snapshot) || plan.Width <= q.reachable() {
 		return false
@@ -51,6 +47,15 @@
 	return true
 }
 
+// refresh takes the servers of the present view into the query's plan if they
+// still serve its snapshot.
+func (s *State) refresh(q *query) {
+	plan := s.pin(s.currentPolicy(q))
+	if plan.Snapshot == q.plan.Snapshot && len(plan.Shards) == len(q.plan.Shards) {
+		q.plan = plan
+	}
+}
+
 // reachable returns the width of the ranges that are covered or still awaited.
 func (q *query) reachable() identifier.HashPoint {
 	width := q.coverage.Width()
--- a/pkg/reducer/retry.go
+++ b/pkg/reducer/retry.go
@@ -34,6 +34,7 @@
 
 // retry arranges another attempt for the shard of an ended one, as far as
 // repeatability, time, attempts and budget allow; otherwise the range is missing.
+// Without a server at the pinned snapshot the query starts over at a newer one.
 func (s *State) retry(q *query, a *attempt, end ending) {
 	if q.shards[a.shard].open == 0 && !q.coverage.Covered(a.shard) {
 		s.arrangeRetry(q, a.shard, end)
@@ -47,6 +48,10 @@
 	if !safe || sh.waiting || sh.parked || sh.tries >= MaxShardAttempts {
 		return
 	}
+	s.refresh(q)
+	if len(s.collect(q, index, "")) == 0 && s.replan(q) {
+		return
+	}
 	delay := s.retryDelay(q, index)
 	if s.now.Add(delay) >= q.deadline || !s.affordRetry(q, index, end) {
 		return
@@ -94,23 +99,20 @@
 	if !ok || t.replan != q.replans || !q.shards[t.shard].waiting {
 		return
 	}
+	s.refresh(q)
 	q.shards[t.shard].waiting = false
 	q.waiting--
 	s.restart(q, t.shard)
 	s.finishIfSettled(q)
 }
 
-// restart sends another attempt for a shard. Without a server at the pinned
-// snapshot it replans the query, or waits once more for news of servers.
+// restart sends another attempt for a shard, or waits once more for news of servers.
 func (s *State) restart(q *query, index int) {
 	if len(s.collect(q, index, "")) > 0 {
 		s.start(q, index)
 		s.armHedges(q)
 		return
 	}
-	if s.replan(q) {
-		return
-	}
 	q.shards[index].tries++
 	s.arrangeRetry(q, index, notRunFree)
 }
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -144,7 +144,7 @@
 }
 
 var _ = ginkgo.Describe("whole sessions", func() {
-	for _, s := range slices.Concat(sessions, slotSessions) {
+	for _, s := range slices.Concat(sessions, slotSessions, querySessions) {
 		ginkgo.It("match the golden file of "+s.name, func() {
 			player := recorder.New(hostOne)
 			for _, i := range s.inputs {
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -104,7 +104,6 @@
 			break
 		}
 		if s.holdsBack(a, j) {
-			a.queue.Spend(j.Rank, j.Cost, 0)
 			s.refuse(j.Payload, RefusedSuspect)
 			continue
 		}
--- a/pkg/reducer/suspect.go
+++ b/pkg/reducer/suspect.go
@@ -37,7 +37,7 @@
 		Kind:       Quarantined,
 		Ran:        RanNo,
 		RetryAfter: s.suspects.Until(f).Since(s.now),
-		Message:    "the request has crashed the backend servers that ran it",
+		Message:    Quarantined.message(),
 	}
 }
 
@@ -180,8 +180,8 @@
 
 // finishIfQuarantined ends a query that can get no further because of its quarantine.
 func (s *State) finishIfQuarantined(q *query) {
-	if q.open+q.waiting == 0 && s.standing(q.Fingerprint) == quarantiner.Quarantined {
-		s.finish(q, Quarantined)
+	if s.standing(q.Fingerprint) == quarantiner.Quarantined {
+		s.finishIfSettled(q)
 	}
 }
 
@@ -214,13 +214,13 @@
 func (s *State) failHeld(f identifier.Fingerprint) {
 	for _, id := range slices.Clone(s.traffic.held[f]) {
 		q := s.traffic.queries[id]
-		if q.open+q.waiting > 0 {
-			q.parked = 0
-			for i := range q.shards {
-				q.shards[i].parked = false
-			}
+		if q.open == 0 {
+			s.finish(q, Quarantined)
 			continue
 		}
-		s.finish(q, Quarantined)
+		q.parked = 0
+		for i := range q.shards {
+			q.shards[i].parked = false
+		}
 	}
 }
