--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -36,7 +36,8 @@
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
-	delays    map[identifier.HostID]identifier.Micros
+	started   identifier.Instant
+	delays    map[identifier.HostID]delay
 }
 
 type hostLease struct {
@@ -53,7 +54,7 @@
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
-		delays:    map[identifier.HostID]identifier.Micros{},
+		delays:    map[identifier.HostID]delay{},
 	}
 }
 
@@ -88,6 +89,7 @@
 // startHost begins heartbeats and the search for lapsed leases.
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
+	s.control.started = s.now
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
@@ -102,7 +104,7 @@
 	case ServerAnnounced:
 		s.reduceAnnounced(e)
 	case ServerRelayed:
-		s.hearServer(s.now.Add(-s.delayOf(e)), e.Announcement)
+		s.hearServer(s.now.Add(-s.delayOf(e.From, e.Stamp)), e.Announcement)
 	case HostHeard:
 		s.hearHost(e)
 	}
@@ -111,7 +113,7 @@
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
 	s.hearServer(s.now, e.Announcement)
-	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Sent: s.now})
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Stamp: s.stamp()})
 	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
 	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
 }
@@ -125,6 +127,7 @@
 }
 
 func (s *State) hearHost(e HostHeard) {
+	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
@@ -147,6 +150,7 @@
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
+		Stamp:   s.stamp(),
 	})
 	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -87,7 +87,6 @@
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
 		s.askAgain(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
 		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
-		s.forgetDelays(e.Host)
 	case FingerprintSuspected:
 		s.hearSuspect(e)
 	case FingerprintCrashed:
