--- a/internal/demonstrator/region.go
+++ b/internal/demonstrator/region.go
@@ -95,7 +95,7 @@
 			{"audit-portal", 1, 7, 6, 100, time.Millisecond},
 			{"crew-roster", 1, 3, 6, 100, time.Millisecond},
 		},
-		Timeouts:    [identifier.RankCount]time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond},
+		Timeouts:    [identifier.RankCount]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond},
 		MinCoverage: [identifier.RankCount]float64{0.9, 0.9, 1},
 	}
 }
@@ -111,7 +111,7 @@
 			{"statement-batch", 1, 15, 2, 35, time.Millisecond},
 			{"audit-view", 1, 8, 2, 35, time.Millisecond},
 		},
-		Timeouts:    [identifier.RankCount]time.Duration{250 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond},
+		Timeouts:    [identifier.RankCount]time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond},
 		MinCoverage: [identifier.RankCount]float64{1, 1, 1},
 	}
 }
--- a/internal/experimenter/run.go
+++ b/internal/experimenter/run.go
@@ -172,6 +172,7 @@
 	s.Policy, s.Condition = c.name, condition.Name
 	s.Capacity = c.stage.shape.Capacity(b.options.TimeScale)
 	s.Measured = b.options.Measured
+	s.TimeScale = b.options.TimeScale
 	s.Cores = runtime.NumCPU()
 	end := b.experiment.Warmup + b.options.Measured
 	arrivals := schedule(b.options.Region, condition.Loads, b.options.TimeScale, end, b.options.Seed+uint64(run))
