--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,94 @@
+package relayer_test
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/relayer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+const (
+	// patience bounds each wait; it is far above what a wait takes.
+	patience = 20 * time.Second
+	// silence is how long bytes that must not arrive are waited for.
+	silence = 50 * time.Millisecond
+)
+
+// connect returns both ends of a connection through a relay.
+func connect(delay time.Duration) (*relayer.Relay, net.Conn, net.Conn) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(target.Close)
+	r, err := relayer.New(relayer.Parameters{Target: identifier.Address(target.Addr().String()), Delay: delay})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(r.Close)
+	from, err := net.Dial("tcp", string(r.Address()))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(from.Close)
+	to, err := target.Accept()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(to.Close)
+	return r, from, to
+}
+
+// passes reports whether a byte sent on one end arrives at the other within the wait.
+func passes(from, to net.Conn, wait time.Duration) bool {
+	_, err := from.Write([]byte{1})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(to.SetReadDeadline(time.Now().Add(wait))).To(gomega.Succeed())
+	_, err = to.Read(make([]byte, 1))
+	return err == nil
+}
+
+var _ = ginkgo.Describe("Relay", func() {
+	cases := []struct {
+		name              string
+		condition         relayer.Condition
+		forward, backward bool
+	}{
+		{"flowing", relayer.Flowing{}, true, true},
+		{"frozen both ways", relayer.Frozen{Forward: true, Backward: true}, false, false},
+		{"frozen forward", relayer.Frozen{Forward: true}, false, true},
+		{"frozen backward", relayer.Frozen{Backward: true}, true, false},
+	}
+	for _, c := range cases {
+		ginkgo.It("passes what it must while "+c.name+", and the rest later", func() {
+			r, from, to := connect(0)
+			r.Set(c.condition)
+			wait := map[bool]time.Duration{true: patience, false: silence}
+			gomega.Expect(passes(from, to, wait[c.forward])).To(gomega.Equal(c.forward))
+			gomega.Expect(passes(to, from, wait[c.backward])).To(gomega.Equal(c.backward))
+			r.Set(relayer.Flowing{})
+			gomega.Expect(passes(from, to, patience)).To(gomega.BeTrue())
+			gomega.Expect(passes(to, from, patience)).To(gomega.BeTrue())
+		})
+	}
+
+	ginkgo.It("holds bytes back for the delay", func() {
+		_, from, to := connect(20 * time.Millisecond)
+		start := time.Now()
+		gomega.Expect(passes(from, to, patience)).To(gomega.BeTrue())
+		gomega.Expect(time.Since(start)).To(gomega.BeNumerically(">=", 20*time.Millisecond))
+	})
+
+	ginkgo.It("ends connections when cut and refuses new ones until it flows", func() {
+		r, from, to := connect(0)
+		r.Set(relayer.Cut{})
+		for _, c := range []net.Conn{from, to} {
+			gomega.Expect(c.SetReadDeadline(time.Now().Add(patience))).To(gomega.Succeed())
+			_, err := c.Read(make([]byte, 1))
+			gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		}
+		refused, err := net.Dial("tcp", string(r.Address()))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer refused.Close()
+		gomega.Expect(refused.SetReadDeadline(time.Now().Add(patience))).To(gomega.Succeed())
+		_, err = refused.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
