--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -29,6 +29,7 @@
 	reducer.AttemptServed{},
 	reducer.AttemptRefused{},
 	reducer.AttemptLost{},
+	reducer.QueuesEstimated{},
 }
 
 var tags = indexTags()
@@ -76,6 +77,9 @@
 		return nil, &UnknownEventError{Detail: "no tag, or one of another version"}
 	}
 	target := reflect.New(reflect.TypeOf(tagged[data[0]]))
+	if err := checkBounds(data[1:]); err != nil {
+		return nil, err
+	}
 	if err := msgpack.Unmarshal(data[1:], target.Interface()); err != nil {
 		return nil, fmt.Errorf("encoder: decode %T: %w", tagged[data[0]], err)
 	}
