pkg/reducer: count early refusals against the objective

Cause: a query refused early left no Observe effect, so the burn report showed a flood's refusals as if nobody had asked. Change: both ways of refusing a query before it runs go through reject. Conclusion: refusals burn the budget.

--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -21,13 +21,12 @@
 		return false
 	}
 	s.count(EarlyRefusalsCounter, q.Customer, q.rank)
-	s.count(FailuresCounter, q.Customer, q.rank)
-	s.emit(Reply{Request: q.Request, Outcome: Failed{
+	s.reject(q.QueryArrived, q.policy, q.rank, Failed{
 		Kind:       Overloaded,
 		Ran:        RanNo,
 		RetryAfter: max(wait, leastRetryAfter),
 		Message:    "the query would not be answered in time",
-	}})
+	})
 	return true
 }
 
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -102,11 +102,7 @@
 	s.count(QueriesCounter, e.Customer, 0)
 	policy, rank, failure := s.classify(e)
 	if failure != nil {
-		s.count(FailuresCounter, e.Customer, rank)
-		if policy != nil {
-			s.observe(e.Customer, rank, policy.Limits[rank], 0, *failure)
-		}
-		s.emit(Reply{Request: e.Request, Outcome: *failure})
+		s.reject(e, policy, rank, *failure)
 		return
 	}
 	limits := policy.Limits[rank]
@@ -135,6 +131,16 @@
 	s.scatter(q)
 }
 
+// reject ends a query of which nothing has run. The policy is nil when the query
+// names no customer or kind of work, so that no objective applies.
+func (s *State) reject(e QueryArrived, policy *configurer.Policy, rank identifier.Rank, failure Failed) {
+	s.count(FailuresCounter, e.Customer, rank)
+	if policy != nil {
+		s.observe(e.Customer, rank, policy.Limits[rank], 0, failure)
+	}
+	s.emit(Reply{Request: e.Request, Outcome: failure})
+}
+
 // replyMargin returns the time kept back from a timeout for the reply to travel, in microseconds.
 func replyMargin(timeout identifier.Micros) identifier.Micros {
 	return min(MaxReplyMargin, timeout/replyMarginDivisor)
