--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -21,13 +21,12 @@
 		return false
 	}
 	s.count(EarlyRefusalsCounter, q.Customer, q.rank)
-	s.count(FailuresCounter, q.Customer, q.rank)
-	s.emit(Reply{Request: q.Request, Outcome: Failed{
+	s.reject(q.QueryArrived, q.policy, q.rank, Failed{
 		Kind:       Overloaded,
 		Ran:        RanNo,
 		RetryAfter: max(wait, leastRetryAfter),
 		Message:    "the query would not be answered in time",
-	}})
+	})
 	return true
 }
 
@@ -55,7 +54,11 @@
 		return 0, 0
 	}
 	needed := s.hardestNeeded(q, shards)
-	return needed.pressure, s.traffic.admitter.Wait(s.now, q.plan.Servers[needed.shard], q.rank)
+	wait := identifier.Micros(0)
+	for _, id := range q.plan.Servers[needed.shard] {
+		wait = max(wait, s.traffic.admitter.Wait(s.now, id, q.rank))
+	}
+	return needed.pressure, wait
 }
 
 // hardestNeeded returns the hardest shard of the easiest ones that reach the
@@ -70,7 +73,7 @@
 	needed := q.minCoverage * identifier.Ratio(identifier.HashSpace)
 	var width identifier.HashPoint
 	for _, p := range shards {
-		width += q.policy.Ranges[p.shard].Width()
+		width += q.plan.Ranges[p.shard].Width()
 		if identifier.Ratio(width) >= needed {
 			return p
 		}
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -134,8 +134,18 @@
 	TimedOut        FailureKind = "timeout"
 	NotReady        FailureKind = "not-ready"
 	LedgerMissing   FailureKind = "ledger-unavailable"
+	// Quarantined requests have crashed backend servers.
+	Quarantined FailureKind = "quarantined"
 )
 
+// message explains the failure of a query that was admitted.
+func (k FailureKind) message() string {
+	if k == Quarantined {
+		return "the request has crashed the backend servers that ran it"
+	}
+	return "the answer is less complete than the customer requires"
+}
+
 // Ran tells whether any part of a failed query ran on a backend server.
 type Ran string
 
@@ -155,6 +165,7 @@
 	ConfigurationSubsystem Subsystem = "configuration"
 	QuerySubsystem         Subsystem = "query"
 	SlotSubsystem          Subsystem = "slot"
+	QuarantineSubsystem    Subsystem = "quarantine"
 )
 
 // LogLevel is the severity of a log line.
@@ -185,6 +196,10 @@
 	AttemptsCounter       Counter = "attempts"
 	RetriesCounter        Counter = "retries"
 	MismatchedPartCounter Counter = "mismatched-parts"
+	HedgesCounter         Counter = "hedges"
+	HedgesWithheldCounter Counter = "hedges-withheld"
+	ProbesCounter         Counter = "probes"
+	ReplansCounter        Counter = "replans"
 	EarlyRefusalsCounter  Counter = "early-refusals"
 
 	// BrokenInvariantsCounter counts invariants found broken; it must stay 0.
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -45,6 +45,12 @@
 	Key() identifier.ServerID
 }
 
+// QuarantineEvent is the family about the permits to probe suspect requests.
+type QuarantineEvent interface {
+	Event
+	isQuarantineEvent()
+}
+
 type processEvent struct{}
 
 func (processEvent) isEvent()        {}
@@ -70,6 +76,11 @@
 func (slotEvent) isEvent()     {}
 func (slotEvent) isSlotEvent() {}
 
+type quarantineEvent struct{}
+
+func (quarantineEvent) isEvent()           {}
+func (quarantineEvent) isQuarantineEvent() {}
+
 // Process events.
 type (
 	// Started is the first event of every state. Seed feeds its random choices.
@@ -131,9 +142,9 @@
 	ServerRelayed struct {
 		membershipEvent
 		Announcement leaser.Announcement `msgpack:"a"`
-		// From is the host that relays, and Sent the instant by its clock.
-		From identifier.HostID  `msgpack:"f"`
-		Sent identifier.Instant `msgpack:"t"`
+		// From is the host that relays.
+		From  identifier.HostID `msgpack:"f"`
+		Stamp Stamp             `msgpack:"t"`
 	}
 	// HostHeard is another entry host's heartbeat.
 	HostHeard struct {
@@ -141,10 +152,18 @@
 		Host   identifier.HostID   `msgpack:"h"`
 		Domain identifier.DomainID `msgpack:"d"`
 		// Leaving is set by a host that shuts down.
-		Leaving bool `msgpack:"l"`
+		Leaving bool  `msgpack:"l"`
+		Stamp   Stamp `msgpack:"t"`
 	}
 )
 
+// Stamp is when a host sent an event, by its own clock.
+type Stamp struct {
+	// Started is when the host's process started.
+	Started identifier.Instant `msgpack:"p"`
+	Sent    identifier.Instant `msgpack:"t"`
+}
+
 // ConfigurationLoaded replaces all templates and customers by those of a higher version.
 type ConfigurationLoaded struct {
 	configurationEvent
@@ -218,6 +237,9 @@
 	RefusedNotOwner
 	// RefusedSnapshot means that the server no longer holds the pinned snapshot.
 	RefusedSnapshot
+	// RefusedSuspect means that the request is suspected of crashing servers and may
+	// run only as a single probe.
+	RefusedSuspect
 	// RefusedOverloaded means that the owner's queue for the server and rank is full.
 	RefusedOverloaded
 )
@@ -255,6 +277,8 @@
 		Repeatable  bool                   `msgpack:"p"`
 		Fingerprint identifier.Fingerprint `msgpack:"f"`
 		Body        []byte                 `msgpack:"b"`
+		// Probe is set on the single attempt of a request suspected of crashing servers.
+		Probe bool `msgpack:"t"`
 	}
 	// AttemptCancelled withdraws an attempt whose result is no longer needed.
 	AttemptCancelled struct {
--- a/pkg/reducer/ledger.go
+++ b/pkg/reducer/ledger.go
@@ -101,6 +101,9 @@
 	if !ok || q.recording != unrecorded {
 		return
 	}
+	if s.endIfOverdue(q) {
+		return
+	}
 	answer, ok := e.Answer.(IntentDecided)
 	if !ok {
 		s.conclude(q, Failed{Kind: LedgerMissing, Ran: RanNo, Message: ledgerUnavailable})
@@ -116,7 +119,8 @@
 	s.require(!running, SingleDispatchInvariant, string(key.Customer)+"/"+string(key.Key))
 	s.traffic.running[key] = q.Request
 	q.recording = recorded
-	s.start(q)
+	q.begin(s.pin(s.currentPolicy(q)))
+	s.scatter(q)
 }
 
 // refusalOf returns the reply to a query whose intent was not granted.
@@ -170,9 +174,3 @@
 	}
 	return Failed{Kind: OutcomeNotStored, Ran: RanYes, Coverage: a.Coverage, Message: "the request ran; its answer is too large to be stored"}
 }
-
-// mayRetry reports whether another attempt may follow one that ended: what is
-// not repeatable only runs again if the attempt did not run.
-func mayRetry(q *query, ran bool) bool {
-	return q.Repeatable || !ran
-}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -7,6 +7,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
@@ -31,10 +32,11 @@
 	version  identifier.Version
 	policies map[identifier.CustomerID]*configurer.Policy
 	self     router.Host
+	// arbiter hands out the permits to probe suspect requests.
+	arbiter *quarantiner.Arbiter
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
-	delays    map[identifier.HostID]identifier.Micros
 
 	// catalog is the newest configuration that this host holds; version and
 	// policies are those in force.
@@ -49,6 +51,8 @@
 	// touched is when this host last heard a control host in touch with its quorum.
 	touched identifier.Instant
 	status  ControlStatus
+	started identifier.Instant
+	delays  map[identifier.HostID]delay
 }
 
 type hostLease struct {
@@ -60,16 +64,17 @@
 
 func newControl() control {
 	return control{
+		arbiter:   quarantiner.NewArbiter(),
 		leases:    leaser.New(LeaseTerm),
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
-		delays:    map[identifier.HostID]identifier.Micros{},
 
 		catalog:     registrar.NewCatalog(),
 		replicated:  newReplicated(),
 		operations:  newOperations(),
 		replication: newReplication(),
+		delays:      map[identifier.HostID]delay{},
 	}
 }
 
@@ -104,8 +109,10 @@
 // startHost begins heartbeats and the search for lapsed leases.
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
+	s.control.started = s.now
 	s.sendHeartbeats()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
 	s.startSpread()
 }
 
@@ -118,7 +125,7 @@
 	case ServerAnnounced:
 		s.reduceAnnounced(e)
 	case ServerRelayed:
-		s.hearServer(s.now.Add(-s.delayOf(e)), e.Announcement)
+		s.hearServer(s.now.Add(-s.delayOf(e.From, e.Stamp)), e.Announcement)
 	case HostHeard:
 		s.hearHost(e)
 	}
@@ -127,20 +134,21 @@
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
 	s.hearServer(s.now, e.Announcement)
-	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Sent: s.now})
-	owner, _ := router.Owner(e.Announcement.Server, e.Announcement.Domain, s.control.liveHosts())
-	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: owner})
+	s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Stamp: s.stamp()})
+	server := s.control.published.Servers[e.Announcement.Server]
+	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: server.Owner})
 }
 
 func (s *State) hearServer(at identifier.Instant, a leaser.Announcement) {
 	if s.control.leases.Hear(at, a) {
 		s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
-		s.publish()
+		s.publish(a.Server)
 	}
 	s.renewLease(a.Server)
 }
 
 func (s *State) hearHost(e HostHeard) {
+	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
@@ -163,6 +171,7 @@
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
+		Stamp:   s.stamp(),
 	})
 	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
@@ -177,20 +186,20 @@
 
 // expireMembers drops lapsed leases and silent hosts.
 func (s *State) expireMembers() {
-	changed := false
-	for _, id := range s.control.leases.Expire(s.now) {
-		changed = true
+	lapsed := s.control.leases.Expire(s.now)
+	changed := len(lapsed) > 0
+	for _, id := range lapsed {
 		s.log(MembershipSubsystem, Warn, "lease of backend server lapsed", Field{"server", string(id)})
 	}
-	for id, h := range s.control.heard {
-		if h.expires <= s.now {
+	for _, id := range sortedKeys(s.control.heard) {
+		if s.control.heard[id].expires <= s.now {
 			delete(s.control.heard, id)
 			changed = true
 			s.log(MembershipSubsystem, Warn, "entry host is silent", Field{"host", string(id)})
 		}
 	}
 	if changed {
-		s.publish()
+		s.publish(lapsed...)
 	}
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 }
@@ -202,7 +211,12 @@
 	s.publish()
 }
 
-func (s *State) publish() {
-	s.control.published = newView(&s.control)
-	s.emit(PublishView{View: s.control.published})
+// publish hands the traffic states a view that follows the changed leases, hosts and policies.
+func (s *State) publish(changed ...identifier.ServerID) {
+	c := &s.control
+	c.published = c.published.next(c, changed)
+	if s.parameters.Strict {
+		s.require(c.published.follows(newView(c)), ViewInvariant, "control")
+	}
+	s.emit(PublishView{View: c.published})
 }
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -25,6 +25,21 @@
 	operationDue struct{ number OperationNumber }
 	// queryDue ends a query at its deadline.
 	queryDue struct{ request identifier.RequestID }
+	// hedgeDue hedges the slow attempts of a query; at tells it from an older timer.
+	hedgeDue struct {
+		request identifier.RequestID
+		at      identifier.Instant
+	}
+	// retryDue sends the attempt that a shard of a plan waits for.
+	retryDue struct {
+		request identifier.RequestID
+		shard   int
+		replan  int
+	}
+	// permitDue hands on a permit to probe that has ended.
+	permitDue struct{ fingerprint identifier.Fingerprint }
+	// crashesDue tells the other hosts again which requests crashed servers.
+	crashesDue struct{}
 	// slotDue looks at a server's queue when a deadline comes or its bound grows.
 	slotDue struct {
 		server identifier.ServerID
@@ -36,12 +51,16 @@
 
 func (heartbeatDue) isTimer()   {}
 func (expiryDue) isTimer()      {}
-func (startupDue) isTimer()     {}
-func (pullDue) isTimer()        {}
-func (operationDue) isTimer()   {}
 func (queryDue) isTimer()       {}
+func (hedgeDue) isTimer()       {}
+func (retryDue) isTimer()       {}
+func (permitDue) isTimer()      {}
+func (crashesDue) isTimer()     {}
 func (slotDue) isTimer()        {}
 func (estimateDue) isTimer()    {}
+func (startupDue) isTimer()     {}
+func (pullDue) isTimer()        {}
+func (operationDue) isTimer()   {}
 func (replicationDue) isTimer() {}
 
 type scheduled struct {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 	// DefaultFloor is the floor of a rank whose policy sets none.
 	DefaultFloor identifier.Ratio = 0.1
 	// maxFloors bounds the sum of all floors; larger floors are scaled down to it.
-	maxFloors identifier.Ratio = 0.9
+	maxFloors identifier.Ratio = 1
 	// maxEarned bounds what a rank saves up, in jobs.
 	maxEarned = 2
 	// starvationFactor is how many times the slot time between two jobs at the floor
@@ -40,6 +40,9 @@
 	starvationFactor = 10
 	// firstCost is the assumed slot time of a job before any has been measured.
 	firstCost = 5 * identifier.Millisecond
+	// outlierFactor bounds what one job adds to the mean cost, in mean costs; a host that
+	// slept saw its calls last for as long.
+	outlierFactor = 4
 	// costWeight is the weight of the past in the mean cost against one new job.
 	costWeight = 15
 )
@@ -167,6 +170,12 @@
 	s.passed[rank] = 0
 }
 
+// NextRank returns the rank of the job that goes next; it reports false when none waits.
+func (s *Scheduler[T]) NextRank() (identifier.Rank, bool) {
+	rank, _ := s.pick()
+	return rank, len(s.queues[rank]) > 0
+}
+
 // pick returns the rank that goes next, and whether it goes by its floor.
 func (s *Scheduler[T]) pick() (identifier.Rank, bool) {
 	var best identifier.Rank
@@ -200,11 +209,14 @@
 	}
 }
 
-// Spend corrects the charge for a job by the slot time that it took, in microseconds.
+// Spend corrects the charge for a job by the slot time that it took, in
+// microseconds. The charge for a job that the server refused stays as it is, so that a server
+// that refuses all its work still gets work of every rank.
 func (s *Scheduler[T]) Spend(rank identifier.Rank, charged, spent identifier.Micros) {
 	s.charge(rank, spent-charged)
 	s.earned[rank] = max(s.earned[rank], -maxEarned*s.costs[rank])
-	s.costs[rank] = max((costWeight*s.costs[rank]+spent)/(costWeight+1), 1)
+	typical := min(spent, outlierFactor*s.costs[rank])
+	s.costs[rank] = max((costWeight*s.costs[rank]+typical)/(costWeight+1), 1)
 }
 
 // Starved reports whether a rank has waited for much longer than its floor allows.
