pkg/reducer: run operators and transfers beside control hosts with random faults

Cause: the control hosts' side of changes, reads and the ledger had no randomised run. Change: the world of the origin's runs gets three control hosts with disks, racing operators who resend, reads, and transfers resent up to 16 s later, under stragglers, crashes, cuts, kills, freezes and broken connections. Asserted: one result for a change id, one winner for a version, versions that never fall on a host, reads not older than what was heard before, at most one run of a key on a range, and in the end equal replicated state and the same version in force everywhere.

--- a/pkg/reducer/export_test.go
+++ b/pkg/reducer/export_test.go
@@ -9,3 +9,8 @@
 	}
 	return s.traffic.owner.calls == 0
 }
+
+// Replicated returns the replicated control state of a control host.
+func (s *State) Replicated() ControlSnapshot {
+	return s.snapshotState()
+}
--- a/pkg/reducer/random_test.go
+++ b/pkg/reducer/random_test.go
@@ -82,6 +82,10 @@
 		}
 		gomega.Expect(len(r.replies)).To(gomega.BeNumerically("<=", 1), "replies to %s", id)
 		for _, o := range r.replies {
+			if _, answered := o.(reducer.Answered); answered && r.key != "" {
+				// The answer may be that of an earlier send; its run is checked by key.
+				continue
+			}
 			r.check(id, o)
 		}
 	}
--- a/pkg/reducer/world_test.go
+++ b/pkg/reducer/world_test.go
@@ -34,6 +34,8 @@
 	// delay is the one-way delay between hosts, in microseconds; jitter is added to it.
 	delay, jitter identifier.Micros
 	cut           map[identifier.DomainID]bool
+	// control is what a world with control hosts has besides; nil without any.
+	control *controlWorld
 }
 
 // occurrence is something due at an instant.
@@ -86,8 +88,10 @@
 	deadline identifier.Instant
 	runs     int
 	marked   bool
-	replies  []reducer.Outcome
-	latency  identifier.Micros
+	// key is set for a request that is not repeatable.
+	key     identifier.IdempotencyKey
+	replies []reducer.Outcome
+	latency identifier.Micros
 }
 
 const (
@@ -98,8 +102,13 @@
 )
 
 func newWorld(seed uint64, hosts, services int) *world {
+	return newWorldWith(seed, hosts, services, nil)
+}
+
+func newWorldWith(seed uint64, hosts, services int, control *controlWorld) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), epoch: 1, version: 1, configuration: 1,
+		control: control,
+		random:  rand.New(rand.NewPCG(seed, 1)), epoch: 1, version: 1, configuration: 1,
 		requests: map[identifier.RequestID]*request{}, counts: map[reducer.Counter]int{},
 		delay: 1500, jitter: 300, cut: map[identifier.DomainID]bool{},
 	}
@@ -181,11 +190,15 @@
 			p.Peers = append(p.Peers, other.Host)
 		}
 	}
+	if w.control != nil {
+		p.ControlHosts = w.controlHosts()
+	}
 	n.state, n.wake, n.last = reducer.New(p), identifier.Never, map[identifier.HostID]identifier.Instant{}
 	n.life++
 	w.reduce(n, reducer.Started{Seed: w.random.Uint64()})
 	w.reduce(n, reducer.HostStarted{})
 	w.load(n)
+	w.recover(i)
 }
 
 // load gives a host the configuration in force.
@@ -194,17 +207,22 @@
 		w.after(1, func() { w.load(n) })
 		return
 	}
+	w.reduce(n, reducer.ConfigurationLoaded{
+		Version:   w.configuration,
+		Templates: []configurer.Template{w.template(1000)},
+		Customers: []configurer.Customer{{ID: "desk", Template: "t", Partition: w.partition(w.epoch)}},
+	})
+}
+
+// template is the template of the world's customer.
+func (*world) template(timeoutMillis int64) configurer.Template {
 	ranks := []configurer.RankParameters{
-		{Rank: "urgent", TimeoutMillis: 1000, MinCoverage: 0.7, Floor: 0.1},
+		{Rank: "urgent", TimeoutMillis: timeoutMillis, MinCoverage: 0.7, Floor: 0.1},
 		{Rank: "standard", TimeoutMillis: 1000, MinCoverage: 0.7, Floor: 0.1},
 		{Rank: "deferrable", TimeoutMillis: 1000, MinCoverage: 1, Floor: 0.1},
 	}
 	works := []configurer.Work{{Kind: "w-0", Rank: "urgent"}, {Kind: "w-1", Rank: "standard"}, {Kind: "w-2", Rank: "deferrable"}}
-	w.reduce(n, reducer.ConfigurationLoaded{
-		Version:   w.configuration,
-		Templates: []configurer.Template{{ID: "t", Works: works, Ranks: ranks, Budgets: configurer.Budgets{Hedge: 0.05, Retry: 0.1}}},
-		Customers: []configurer.Customer{{ID: "desk", Template: "t", Partition: w.partition(w.epoch)}},
-	})
+	return configurer.Template{ID: "t", Works: works, Ranks: ranks, Budgets: configurer.Budgets{Hedge: 0.05, Retry: 0.1}}
 }
 
 // kill ends a host; its peers' connections break, and it starts again later.
@@ -264,7 +282,12 @@
 		w.events++
 		for _, effect := range slices.Clone(n.state.Reduce(w.now, next)) {
 			switch e := effect.(type) {
+			case reducer.StoreRecords:
+				w.store(n, e)
+			case reducer.ReplyOperator:
+				w.control.reply(n, e)
 			case reducer.PublishView:
+				w.watchVersion(n, e.View.Configuration)
 				pending = append(pending, reducer.ViewPublished{View: e.View})
 			case reducer.Send:
 				if e.To == n.ID {
@@ -373,6 +396,9 @@
 	}
 	r := w.requests[c.Attempt.Request]
 	r.runs++
+	if w.control != nil {
+		w.control.ran(r.key, c.Range)
+	}
 	b.running[c.Attempt] = true
 	incarnation := b.Incarnation
 	if r.marked {
