--- a/internal/experimenter/run.go
+++ b/internal/experimenter/run.go
@@ -27,6 +27,8 @@
 	// baselineStride is of how many runs the baselines play one, so that an
 	// experiment ends within a minute.
 	baselineStride = 2
+	// warmLoad is the load of the segment before the first run.
+	warmLoad = 0.5
 	// clientConnections bounds the tool's connections to one entry host.
 	clientConnections = 1000
 )
@@ -73,6 +75,11 @@
 	if err := b.open(loggers); err != nil {
 		return nil, err
 	}
+	for _, c := range b.contestants {
+		if err := b.warm(ctx, c); err != nil {
+			return nil, err
+		}
+	}
 	report := &Report{Experiment: e, Options: o}
 	for run := range o.Runs {
 		for i := range b.contestants {
@@ -137,6 +144,19 @@
 	}
 }
 
+// warm plays the load of the first condition once, without its faults, so that
+// no run pays for first connections and estimates.
+func (b *bench) warm(ctx context.Context, c contestant) error {
+	if err := b.awaitReady(ctx, c); err != nil {
+		return err
+	}
+	b.playSegment(ctx, c, Condition{Name: "warm-up", Loads: loads(warmLoad)}, 0)
+	if a, ok := c.subject.(*alone); ok {
+		a.rest()
+	}
+	return ctx.Err()
+}
+
 // playRun plays all conditions with one policy.
 func (b *bench) playRun(ctx context.Context, c contestant, run int) ([]Segment, error) {
 	var segments []Segment
