--- a/internal/encoder/control_bench_test.go
+++ b/internal/encoder/control_bench_test.go
@@ -75,7 +75,7 @@
 		}
 		if r, ok := event.(reducer.ServerRelayed); ok {
 			r.Announcement.Sequence = identifier.Sequence(c.now + 1)
-			r.Sent = c.now
+			r.Stamp.Sent = c.now
 			event = r
 		}
 		c.received += identifier.Bytes(len(data))
--- a/pkg/reducer/session_test.go
+++ b/pkg/reducer/session_test.go
@@ -167,7 +167,7 @@
 }
 
 var _ = ginkgo.Describe("whole sessions", func() {
-	for _, s := range slices.Concat(sessions, slotSessions) {
+	for _, s := range slices.Concat(sessions, slotSessions, querySessions) {
 		ginkgo.It("match the golden file of "+s.name, func() {
 			expectGolden(s.name, hostOne, s.inputs)
 		})
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -63,12 +63,14 @@
 // hosts or the policies have changed. What has not changed is shared with this view.
 func (v *View) next(c *control, changed []identifier.ServerID) *View {
 	n := &View{
-		Configuration: c.version,
-		Policies:      c.policies,
-		Servers:       v.Servers,
-		ByService:     v.ByService,
-		Hosts:         c.liveHosts(),
-		Leaving:       c.leavingHosts(),
+		Configuration:  c.version,
+		Policies:       c.policies,
+		Servers:        v.Servers,
+		ByService:      v.ByService,
+		ControlMembers: c.replication.members(),
+		Hosts:          c.liveHosts(),
+		Leaving:        c.leavingHosts(),
+		Control:        c.status,
 	}
 	if !slices.Equal(n.Hosts, v.Hosts) {
 		n.reassign(c, v.Hosts)
