pkg/reducer: build the fields of every view in one place

The invariant did not see it, since it compared neither field. The change sets the fields once and compares them in view-follows-control.

--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"reflect"
 	"slices"
 
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
@@ -43,43 +44,42 @@
 
 // newView joins the leases, the live hosts and the policies.
 func newView(c *control) *View {
-	v := &View{
-		ControlMembers: c.replication.members(),
+	v := emptyView(c)
+	for _, a := range c.leases.Announcements() {
+		v.insert(c, a)
+	}
+	return v
+}
+
+// emptyView returns a view of everything but the servers.
+func emptyView(c *control) *View {
+	return &View{
 		Configuration:  c.version,
 		Policies:       c.policies,
 		Servers:        map[identifier.ServerID]*Server{},
 		ByService:      map[identifier.ServiceID][]leaser.Announcement{},
+		ControlMembers: c.replication.members(),
 		Hosts:          c.liveHosts(),
 		Leaving:        c.leavingHosts(),
 		Control:        c.status,
 	}
-	for _, a := range c.leases.Announcements() {
-		v.insert(c, a)
-	}
-	return v
 }
 
 // next returns the view that follows when the leases of the given servers, the
 // hosts or the policies have changed. What has not changed is shared with this view.
 func (v *View) next(c *control, changed []identifier.ServerID) *View {
-	n := &View{
-		Configuration:  c.version,
-		Policies:       c.policies,
-		Servers:        v.Servers,
-		ByService:      v.ByService,
-		ControlMembers: c.replication.members(),
-		Hosts:          c.liveHosts(),
-		Leaving:        c.leavingHosts(),
-		Control:        c.status,
+	n := emptyView(c)
+	if v.Servers != nil {
+		n.Servers, n.ByService = v.Servers, v.ByService
 	}
 	if !slices.Equal(n.Hosts, v.Hosts) {
 		n.reassign(c, v.Hosts)
 	}
-	if len(changed) == 0 && n.Servers != nil {
+	if len(changed) == 0 {
 		return n
 	}
-	n.Servers = cloneOf(n.Servers)
-	n.ByService = cloneOf(n.ByService)
+	n.Servers = maps.Clone(n.Servers)
+	n.ByService = maps.Clone(n.ByService)
 	for _, id := range changed {
 		n.remove(id)
 		if a, ok := c.leases.Latest(id); ok {
@@ -89,14 +89,6 @@
 	return n
 }
 
-// cloneOf copies a map; a nil one becomes empty.
-func cloneOf[K comparable, V any](m map[K]V) map[K]V {
-	if m == nil {
-		return map[K]V{}
-	}
-	return maps.Clone(m)
-}
-
 // insert adds a server, in order of id among those of its service.
 func (v *View) insert(c *control, a leaser.Announcement) {
 	owner, _ := router.Owner(a.Server, a.Domain, v.Hosts)
@@ -155,9 +147,11 @@
 	v.Servers = servers
 }
 
-// follows reports whether the views route alike.
+// follows reports whether the views say the same but for the servers' load, sequence and expiry.
 func (v *View) follows(o *View) bool {
 	return v.Configuration == o.Configuration &&
+		v.Control == o.Control &&
+		reflect.DeepEqual(v.ControlMembers, o.ControlMembers) &&
 		slices.Equal(v.Hosts, o.Hosts) &&
 		slices.Equal(v.Leaving, o.Leaving) &&
 		maps.EqualFunc(v.Servers, o.Servers, func(a, b *Server) bool {
