--- a/internal/experimenter/action.go
+++ b/internal/experimenter/action.go
@@ -120,15 +120,16 @@
 func (s *stage) sendMarked(ctx context.Context, a SendMarked) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	timeout := demonstrator.Scaled(s.generator.region.Timeouts[identifier.Urgent], s.generator.scale)
 	tick := time.NewTicker(a.Interval)
 	defer tick.Stop()
 	for i := range a.Times {
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, s.generator.region.Timeouts[0])
+			ctx, cancel := context.WithTimeout(ctx, timeout+replyGrace)
 			defer cancel()
 			ask(ctx, s.generator.subject, query{
 				customer: s.generator.customers[0], work: demonstrator.UrgentWork,
-				timeout: s.generator.region.Timeouts[0], token: marker, host: i % s.generator.hosts,
+				timeout: timeout, token: marker, host: i % s.generator.hosts,
 			})
 		})
 		select {
--- a/pkg/reducer/renewal_test.go
+++ b/pkg/reducer/renewal_test.go
@@ -77,6 +77,13 @@
 	}})
 }
 
+// lose lets the server announce itself to h-1 while nothing reaches h-2.
+func (p *pair) lose(sequence identifier.Sequence, state leaser.ServerState) {
+	p.lossy = true
+	p.announce(sequence, state)
+	p.lossy = false
+}
+
 var _ = ginkgo.Describe("renewals", func() {
 	const second = identifier.Second
 	cases := []struct {
@@ -103,17 +110,13 @@
 			p.announce(2, leaser.Draining)
 		}, 2, true, leaser.Draining},
 		{"bring what was lost", func(p *pair) {
-			p.lossy = true
-			p.announce(1, leaser.Serving)
-			p.lossy = false
+			p.lose(1, leaser.Serving)
 			p.announce(2, leaser.Serving)
 			p.pass(second / 4)
 		}, 2, true, leaser.Serving},
 		{"bring a change that was lost", func(p *pair) {
 			p.announce(1, leaser.Serving)
-			p.lossy = true
-			p.announce(2, leaser.Draining)
-			p.lossy = false
+			p.lose(2, leaser.Draining)
 			p.announce(3, leaser.Draining)
 			p.pass(second / 4)
 		}, 3, true, leaser.Draining},
