pkg/admitter: keep floors' queues from running dry, and withhold hedges in floods

Cause: a rank at its floor is served some 17 jobs a second by a server, so a wait of a tenth of its time is one job; refusals began while its queue was about to run dry.

Ruled out, by the trials in virtual time: 4 and 10 jobs in place of 6 (the same within the spread).

Change: up to 6 waiting jobs of a rank raise the pressure only in proportion, unless the wait nears the deadline; a hedge is withheld when 4 or more jobs wait at each other server.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -32,6 +32,13 @@
 	easyPressure = 0.1
 	// fullPressure is the pressure from which every query is refused.
 	fullPressure = 0.4
+	// keepBusy is how many jobs of a rank may wait before refusals are certain, so that
+	// the queue does not run dry between estimates.
+	keepBusy = 6
+	// latePressure is the pressure from which a wait counts in full however short the queue.
+	latePressure = 0.8
+	// floodBacklog is how many jobs of all ranks wait at a server in a flood.
+	floodBacklog = 4
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
 )
@@ -117,7 +124,25 @@
 	}
 	room := max(remaining-tailServices*h.estimate.Service, remaining/tailServices, 1)
 	full := float64(waiting) / float64(a.limit)
-	return max(float64(h.estimate.Wait(r, h.submitted[r]))/float64(room), full)
+	late := float64(h.estimate.Wait(r, h.submitted[r])) / float64(room)
+	if late < latePressure {
+		late = min(late, fullPressure*float64(waiting)/keepBusy)
+	}
+	return max(late, full)
+}
+
+// Flooded reports whether work that is already needed waits at the server, so that
+// an attempt above the need would displace it.
+func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID) bool {
+	h, ok := a.servers[id]
+	if !ok || now.Since(h.at) > EstimateTerm {
+		return false
+	}
+	waiting := 0
+	for r := range h.estimate.Backlog {
+		waiting += int(h.estimate.Backlog[r])
+	}
+	return waiting >= floodBacklog
 }
 
 // Wait returns the time until the server gets to new work of the rank, in microseconds.
--- a/pkg/admitter/admitter_test.go
+++ b/pkg/admitter/admitter_test.go
@@ -37,6 +37,8 @@
 		{"counts work submitted since the estimate", []uint32{20}, 20, 0, one, identifier.Urgent, 100 * ms, 1},
 		{"is that of the best server", []uint32{80, 10}, 0, 0, both, identifier.Urgent, 100 * ms, 0.25},
 		{"is none when the estimate is old", []uint32{80}, 0, identifier.Instant(admitter.EstimateTerm) + 1, one, identifier.Urgent, 100 * ms, 0},
+		{"is low while few jobs wait", []uint32{2}, 0, 0, one, identifier.Urgent, 25 * ms, 0.4 * 2 / 6},
+		{"is high when few jobs wait too long", []uint32{4}, 0, 0, one, identifier.Urgent, 28 * ms, 1},
 		{"is high when the queue is nearly full", []uint32{90}, 0, 0, one, identifier.Urgent, 100000 * ms, 0.9},
 	}
 	for _, c := range cases {
@@ -52,6 +54,15 @@
 		})
 	}
 
+	ginkgo.It("is a flood when several jobs of any rank wait", func() {
+		a := admitter.New(100)
+		a.Hear(0, "s-1", estimate(3))
+		a.Hear(0, "s-2", estimate(4))
+		gomega.Expect(a.Flooded(0, "s-1")).To(gomega.BeFalse())
+		gomega.Expect(a.Flooded(0, "s-2")).To(gomega.BeTrue())
+		gomega.Expect(a.Flooded(identifier.Instant(admitter.EstimateTerm)+1, "s-2")).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("turns into a chance of refusal in proportion", func() {
 		for _, c := range []struct{ pressure, chance float64 }{{0, 0}, {0.1, 0}, {0.25, 0.5}, {0.4, 1}, {7, 1}} {
 			gomega.Expect(admitter.Chance(c.pressure)).To(gomega.BeNumerically("~", c.chance, 1e-9))
--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -82,6 +82,16 @@
 	return shards[len(shards)-1]
 }
 
+// flooded reports whether needed work waits at every other server of the shard.
+func (s *State) flooded(q *query, index int) bool {
+	for _, id := range q.plan.Servers[index] {
+		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // hearEstimate takes in the estimate that came with a result.
 func (s *State) hearEstimate(id identifier.ServerID, e estimator.Estimate) {
 	s.traffic.admitter.Hear(s.now, id, e)
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -74,7 +74,7 @@
 // mayHedge reports whether a second attempt for the shard has a server to go to.
 // A suspect request runs on one server at a time.
 func (s *State) mayHedge(q *query, index int) bool {
-	if q.shards[index].open > 1 || s.suspected(q.Fingerprint) {
+	if q.shards[index].open > 1 || s.suspected(q.Fingerprint) || s.flooded(q, index) {
 		return false
 	}
 	return len(s.collect(q, index, q.shards[index].last)) > 0
