--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -192,13 +192,17 @@
 		if err != nil {
 			return err
 		}
-		d.Hosts = append(d.Hosts, runner.New(loader.Settings{
+		host, err := runner.New(loader.Settings{
 			Host:          self.Host,
 			Domain:        self.Domain,
 			Peers:         linked,
 			TrafficStates: loader.DefaultTrafficStates,
 			Shutdown:      loader.Shutdown{TimeoutMillis: loader.DefaultShutdownTimeoutMillis},
-		}, p.Customers, sockets[i], loggers))
+		}, p.Customers, sockets[i], loggers)
+		if err != nil {
+			return err
+		}
+		d.Hosts = append(d.Hosts, host)
 	}
 	return nil
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -62,6 +62,9 @@
 	Caller   Caller
 	Counters Counters
 	Loggers  Loggers
+	// Storage and Recovered give the host the control role; both are nil without it.
+	Storage   Storage
+	Recovered *reducer.LogRecovered
 }
 
 // Lease is the answer to an announcement.
@@ -87,7 +90,11 @@
 	mutex   sync.Mutex
 	queries map[identifier.RequestID]chan reducer.Outcome
 	leases  map[reducer.Ticket]chan Lease
-	calls   map[identifier.AttemptID]flight
+	// operators holds the operators who wait for an answer.
+	operators map[reducer.Ticket]chan reducer.ReplyOperator
+	// stores holds what the storage goroutine is to store.
+	stores *mailbox[reducer.StoreRecords]
+	calls  map[identifier.AttemptID]flight
 }
 
 // New returns a Host that has not started.
@@ -101,6 +108,8 @@
 		cancel:       cancel,
 		queries:      map[identifier.RequestID]chan reducer.Outcome{},
 		leases:       map[reducer.Ticket]chan Lease{},
+		operators:    map[reducer.Ticket]chan reducer.ReplyOperator{},
+		stores:       newMailbox[reducer.StoreRecords](),
 		calls:        map[identifier.AttemptID]flight{},
 	}
 	h.view.Store(&reducer.View{})
@@ -119,6 +128,10 @@
 		h.group.Go(l.run)
 	}
 	h.control.mailbox.put(reducer.HostStarted{})
+	if h.dependencies.Recovered != nil {
+		h.control.mailbox.put(*h.dependencies.Recovered)
+		h.group.Go(h.storeLoop)
+	}
 }
 
 // Stop ends all goroutines and calls. Leave comes first in a graceful shutdown.
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -38,7 +38,11 @@
 	if !ok || t.at != q.hedgeTimer {
 		return
 	}
+	if s.endIfOverdue(q) {
+		return
+	}
 	q.hedgeTimer = identifier.Never
+	s.refresh(q)
 	for i := range q.attempts {
 		if q.attempts[i].open && q.attempts[i].hedgeAt <= s.now {
 			s.hedgeAttempt(q, i)
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -4,6 +4,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/admitter"
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/hedger"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/planner"
@@ -38,6 +39,8 @@
 	held map[identifier.Fingerprint][]identifier.RequestID
 	// losses holds, as the owner, the calls lost on servers that may have crashed.
 	losses map[identifier.ServerID][]loss
+	// running holds the dispatched requests that are not repeatable, by key.
+	running map[deduplicator.Key]identifier.RequestID
 }
 
 // service is what a state measured of one service, and its budgets of extra attempts.
@@ -58,6 +61,7 @@
 		previous: map[identifier.CustomerID]configurer.Partition{},
 		held:     map[identifier.Fingerprint][]identifier.RequestID{},
 		losses:   map[identifier.ServerID][]loss{},
+		running:  map[deduplicator.Key]identifier.RequestID{},
 	}
 }
 
