pkg/scheduler: raise the lower ranks' floors by what their slot time hides

Cause: the owner measures a slot's time with the ways to the server and back in it, so 10% of it is less than 10% of the server's time. Floors that with urgent's add up to 1 could not be raised, since urgent's floor counted although urgent work goes first anyway.

Change: a margin of 1.1 on the floors below urgent; urgent keeps the rest.

--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -31,8 +31,12 @@
 const (
 	// DefaultFloor is the floor of a rank whose policy sets none.
 	DefaultFloor identifier.Ratio = 0.1
-	// maxFloors bounds the sum of all floors; larger floors are scaled down to it.
-	maxFloors identifier.Ratio = 1
+	// maxLowerFloors bounds the sum of the floors of all ranks but urgent; larger ones
+	// are scaled down to it.
+	maxLowerFloors identifier.Ratio = 0.9
+	// floorMargin raises the floors of all ranks but urgent: measured slot time contains the
+	// ways to the server and back, so a share of it is less of the server's own time.
+	floorMargin identifier.Ratio = 1.1
 	// maxEarned bounds what a rank saves up, in jobs.
 	maxEarned = 2
 	// starvationFactor is how many times the slot time between two jobs at the floor
@@ -93,17 +97,19 @@
 	s.floors[r] = floor
 }
 
-// Floor returns the share of slot time that a rank gets while it has work. It is
-// below the floor that was set when the floors of all ranks add up to too much.
+// Floor returns the share of the measured slot time that a rank gets while it has
+// work. It is above the floor that was set by the margin, and below it where the floors
+// of the lower ranks leave too little for urgent work.
 func (s *Scheduler[T]) Floor(r identifier.Rank) identifier.Ratio {
-	var sum identifier.Ratio
-	for _, f := range s.floors {
-		sum += f
+	var lower identifier.Ratio
+	for _, f := range s.floors[identifier.Urgent+1:] {
+		lower += f * floorMargin
 	}
-	if sum <= maxFloors {
-		return s.floors[r]
+	scale := min(1, maxLowerFloors/lower)
+	if r == identifier.Urgent {
+		return min(s.floors[r], 1-lower*scale)
 	}
-	return s.floors[r] * maxFloors / sum
+	return s.floors[r] * floorMargin * scale
 }
 
 // Push adds a job. It reports false, and adds nothing, when the queue of its rank is full.
