pkg/reducer: refuse early what is not repeatable only after the ledger's grant

Ruled out: never refusing such requests early, which lets a flood of them into the queues; registering every query before the check, which leaves a timer for each refused one.

Change: repeatable queries are refused on arrival, others once granted, when the intent is returned.

Conclusion: a resend in overload hears its outcome or maybe.

--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -12,22 +12,31 @@
 // leastRetryAfter is the least hint for a caller whose query was refused early.
 const leastRetryAfter = 100 * identifier.Millisecond
 
-// refuseEarly answers a query that can't get enough of its parts in time, before
-// any part runs, and reports whether it did.
-func (s *State) refuseEarly(q *query) bool {
+// refuseOnArrival returns the failure of a repeatable query that can't get enough of
+// its parts in time, or nil. Others are refused only once the ledger has granted them:
+// an earlier send may have run.
+func (s *State) refuseOnArrival(q *query) *Failed {
+	if !q.Repeatable {
+		return nil
+	}
+	return s.overload(q)
+}
+
+// overload returns the failure of a query that can't get enough of its parts in
+// time, before any part runs, or nil.
+func (s *State) overload(q *query) *Failed {
 	pressure, wait := s.pressure(q)
 	chance := admitter.Chance(pressure)
 	if chance <= 0 || s.random.Float64() >= chance {
-		return false
+		return nil
 	}
 	s.count(EarlyRefusalsCounter, q.Customer, q.rank)
-	s.reject(q.QueryArrived, q.policy, q.rank, Failed{
+	return &Failed{
 		Kind:       Overloaded,
 		Ran:        RanNo,
 		RetryAfter: max(wait, leastRetryAfter),
 		Message:    "the query would not be answered in time",
-	})
-	return true
+	}
 }
 
 // shardPressure is how hard it is to get one shard's part.
--- a/pkg/reducer/configuration_test.go
+++ b/pkg/reducer/configuration_test.go
@@ -155,6 +155,13 @@
 		transferred(30*ms, "mismatched"),
 		answered(35*ms, 4, reducer.IntentDecided{Decision: deduplicator.Mismatched{}}),
 	)},
+	{"ledger-in-overload", controlledDesk(
+		overloaded(9*ms, "low-1", "high-1"),
+		transferred(10*ms, "resent"),
+		answered(15*ms, 2, reducer.IntentDecided{Decision: deduplicator.Unsettled{}}),
+		transferred(20*ms, "fresh"),
+		granted(25*ms, 3),
+	)},
 	{"ledger-without-quorum", controlledDesk(
 		transferred(10*ms, "q"),
 		input{12 * ms, reducer.OperationRedirected{Number: 2}},
--- a/pkg/reducer/ledger.go
+++ b/pkg/reducer/ledger.go
@@ -120,6 +120,10 @@
 	s.traffic.running[key] = q.Request
 	q.recording = recorded
 	q.begin(s.pin(s.currentPolicy(q)))
+	if failure := s.overload(q); failure != nil {
+		s.conclude(q, *failure)
+		return
+	}
 	s.scatter(q)
 }
 
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -118,7 +118,8 @@
 		plan:          s.pin(policy),
 		hedgeTimer:    identifier.Never,
 	}
-	if s.refuseEarly(q) {
+	if failure := s.refuseOnArrival(q); failure != nil {
+		s.reject(e, policy, rank, *failure)
 		return
 	}
 	s.traffic.queries[e.Request] = q
--- a/pkg/reducer/slot_session_test.go
+++ b/pkg/reducer/slot_session_test.go
@@ -47,6 +47,19 @@
 	return input{at, reducer.HostHeard{Host: "h-2", Domain: domain, Leaving: leaving}}
 }
 
+// overloaded is an owner's news that urgent work waits for 200 ms at the servers.
+func overloaded(at identifier.Instant, servers ...identifier.ServerID) input {
+	var estimates []reducer.ServerEstimate
+	for _, id := range servers {
+		estimates = append(estimates, reducer.ServerEstimate{Server: id, Estimate: estimator.Estimate{
+			Backlog: [identifier.RankCount]uint32{40, 0, 0},
+			Step:    [identifier.RankCount]identifier.Micros{5000, 5000, 5000},
+			Service: 5000,
+		}})
+	}
+	return input{at, reducer.QueuesEstimated{Servers: estimates}}
+}
+
 // flood is one deferrable attempt behind urgent ones that take 5 ms each.
 func flood() []input {
 	inputs := []input{submitted(0, "deferrable", identifier.Deferrable, 500*ms)}
@@ -172,18 +185,10 @@
 		{2950 * ms, reducer.Woken{}},
 	})},
 	{"early-refusal", session([]input{
-		{1 * ms, reducer.QueuesEstimated{Servers: []reducer.ServerEstimate{{Server: "low-1", Estimate: estimator.Estimate{
-			Backlog: [identifier.RankCount]uint32{40, 0, 0},
-			Step:    [identifier.RankCount]identifier.Micros{5000, 5000, 5000},
-			Service: 5000,
-		}}}}},
+		overloaded(1*ms, "low-1"),
 		arrived(2*ms, "half", "lookup"),
 		arrived(3*ms, "whole", "archive"),
-		{4 * ms, reducer.QueuesEstimated{Servers: []reducer.ServerEstimate{{Server: "high-1", Estimate: estimator.Estimate{
-			Backlog: [identifier.RankCount]uint32{40, 0, 0},
-			Step:    [identifier.RankCount]identifier.Micros{5000, 5000, 5000},
-			Service: 5000,
-		}}}}},
+		overloaded(4*ms, "high-1"),
 		arrived(5*ms, "neither", "lookup"),
 		arrived(400*ms, "later", "lookup"),
 	})},
