--- a/internal/listener/configuration.go
+++ b/internal/listener/configuration.go
@@ -34,10 +34,12 @@
 	Member  bool              `json:"control-host"`
 	Leader  identifier.HostID `json:"leader"`
 	InTouch bool              `json:"in-touch"`
+	// StorageFailed is set by a control host whose disk failed.
+	StorageFailed bool `json:"storage-failed"`
 }
 
 func controlOf(host identifier.HostID, s reducer.ControlStatus) control {
-	return control{Host: host, Member: s.Member, Leader: s.Leader, InTouch: s.InTouch}
+	return control{Host: host, Member: s.Member, Leader: s.Leader, InTouch: s.InTouch, StorageFailed: s.StorageFailed}
 }
 
 // register adds the paths of templates and customers.
