pkg/replicator: test the steps of a change of membership

Cause: the randomised run did not catch a change before the last one or an own entry is committed, a learner that votes at once, or one promoted too early. Change: two focused tests. Each of the five faults, put in on a scratch copy, fails them. Conclusion: a dead voter replaced in one step stays uncaught; with its disk surely lost it votes in no old quorum, so that is no fault by itself.

--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -1,6 +1,8 @@
 package replicator_test
 
 import (
+	"errors"
+
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -161,6 +163,44 @@
 		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(1)))
 	})
 
+	ginkgo.It("changes the membership only behind an entry of its own term, one change at a time", func() {
+		s := newSingle()
+		s.receive(2, 3, replicator.AppendRequest{Previous: 2, PreviousTerm: 2, Commit: 2})
+		s.elect()
+		gomega.Expect(s.node.CommitIndex()).To(gomega.Equal(identifier.LogIndex(2)))
+		var refused *replicator.MemberError
+		gomega.Expect(errors.As(s.node.RemoveMember(s.now, "h-3"), &refused)).To(gomega.BeTrue())
+		gomega.Expect(refused.Temporary).To(gomega.BeTrue())
+		s.receive(2, 4, replicator.AppendReply{Match: 3})
+		gomega.Expect(s.node.RemoveMember(s.now, "h-3")).To(gomega.Succeed())
+		gomega.Expect(errors.As(s.node.RemoveMember(s.now, "h-2"), &refused)).To(gomega.BeTrue())
+		gomega.Expect(refused.Temporary).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("replaces a lost disk in steps: learner, old voter out, learner promoted", func() {
+		s := newSingle()
+		s.elect()
+		s.receive(2, 4, replicator.AppendReply{Match: 3})
+		fresh := replicator.Peer{Host: "h-3", Replica: 9}
+		old, learner := trio[2], replicator.Member{Peer: fresh}
+		s.node.Receive(s.now, replicator.Envelope{From: fresh, To: replicator.Peer{Host: "h-1"}, Message: replicator.Probe{Empty: true}})
+		s.take()
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(trio[0], trio[1], old, learner))
+		s.receive(2, 4, replicator.AppendReply{Match: 4})
+		gomega.Expect(s.node.Members()).To(gomega.HaveLen(4), "the learner has not caught up")
+		reply := replicator.Envelope{Group: 1, From: fresh, To: trio[0].Peer, Term: 4, Message: replicator.AppendReply{Match: 4}}
+		s.node.Receive(s.now, reply)
+		s.take()
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(trio[0], trio[1], learner))
+		s.node.Receive(s.now, reply)
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(trio[0], trio[1], learner), "the removal is not committed")
+		s.receive(2, 4, replicator.AppendReply{Match: 5})
+		reply.Message = replicator.AppendReply{Match: 5}
+		s.node.Receive(s.now, reply)
+		learner.Voter = true
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(trio[0], trio[1], learner))
+	})
+
 	ginkgo.It("is silent once its storage has failed", func() {
 		s := newSingle()
 		s.elect()
