pkg/reducer: bound what owners publish, and hedge urgent work past less urgent queues

Cause: each publication went to every host that had submitted within a second, 4,000 at the planned size. Hedges of urgent work were withheld while only deferrable work waited, which urgent work passes.

Change: at most 64 hosts of a server are remembered and 64 estimates go out each 100 ms, those told longest ago first; only queues of the same rank or more urgent withhold hedges.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -37,7 +37,7 @@
 	keepBusy = 6
 	// latePressure is the pressure from which a wait counts in full however short the queue.
 	latePressure = 0.8
-	// floodBacklog is how many jobs of all ranks wait at a server in a flood.
+	// floodBacklog is how many jobs of a rank and more urgent ones wait at a server in a flood.
 	floodBacklog = 4
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
@@ -131,16 +131,16 @@
 	return max(late, full)
 }
 
-// Flooded reports whether work that is already needed waits at the server, so that
-// an attempt above the need would displace it.
-func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID) bool {
+// Flooded reports whether work as urgent as the rank or more waits at the server,
+// so that an attempt above the need would displace it.
+func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID, rank identifier.Rank) bool {
 	h, ok := a.servers[id]
 	if !ok || now.Since(h.at) > EstimateTerm {
 		return false
 	}
 	waiting := 0
-	for r := range h.estimate.Backlog {
-		waiting += int(h.estimate.Backlog[r])
+	for _, jobs := range h.estimate.Backlog[:rank+1] {
+		waiting += int(jobs)
 	}
 	return waiting >= floodBacklog
 }
--- a/pkg/reducer/account.go
+++ b/pkg/reducer/account.go
@@ -16,6 +16,10 @@
 	EstimateInterval = 100 * identifier.Millisecond
 	// submitterTerm is how long a host that has submitted work hears of the queue.
 	submitterTerm = identifier.Second
+	// maxSubmitters bounds the hosts that hear of one server's queue without a result.
+	maxSubmitters = 64
+	// maxPublished bounds the estimates of one publication; the others wait for the next.
+	maxPublished = 64
 )
 
 // account is the owner's account of one backend server.
@@ -24,8 +28,8 @@
 	flights   map[identifier.AttemptID]*flight
 	limiter   *limiter.Limiter
 	estimator *estimator.Estimator
-	// submitters are the hosts that submitted work and when they last did.
-	submitters map[identifier.HostID]identifier.Instant
+	// submitters are hosts that submitted work of late.
+	submitters map[identifier.HostID]*submitter
 	// review is when the queue is looked at next.
 	review identifier.Instant
 	// waited is set when the latest publication showed jobs that wait.
@@ -35,6 +39,13 @@
 	configuration identifier.Version
 }
 
+// submitter is a host that submitted work to a server.
+type submitter struct {
+	// submitted is when it last did, told when the queue was last published to it.
+	submitted identifier.Instant
+	told      identifier.Instant
+}
+
 // flight is a job that holds a slot.
 type flight struct {
 	job       *job
@@ -52,7 +63,7 @@
 			flights:    map[identifier.AttemptID]*flight{},
 			limiter:    limiter.New(),
 			estimator:  estimator.New(),
-			submitters: map[identifier.HostID]identifier.Instant{},
+			submitters: map[identifier.HostID]*submitter{},
 			review:     identifier.Never,
 		}
 		if cautious := max(o.cautious, o.tenures[id].cautious); s.now < cautious {
@@ -125,36 +136,73 @@
 	s.schedule(s.now.Add(EstimateInterval), estimateDue{})
 }
 
-// publishEstimates tells the hosts that submitted work of late about the queues
-// that have jobs waiting, or had at the last publication.
+// noteSubmitter notes that a host has submitted work.
+func (a *account) noteSubmitter(now identifier.Instant, host identifier.HostID) {
+	if known, ok := a.submitters[host]; ok {
+		known.submitted = now
+		return
+	}
+	if len(a.submitters) < maxSubmitters {
+		a.submitters[host] = &submitter{submitted: now}
+	}
+}
+
+// forgetSubmitters drops the hosts that have submitted nothing for a while.
+func (a *account) forgetSubmitters(now identifier.Instant) {
+	for host, known := range a.submitters {
+		if now.Since(known.submitted) > submitterTerm {
+			delete(a.submitters, host)
+		}
+	}
+}
+
+// notice is an estimate that is due to a host.
+type notice struct {
+	host   identifier.HostID
+	server identifier.ServerID
+	told   identifier.Instant
+}
+
+// publishEstimates tells the hosts that submitted work of late about the queues that
+// have jobs waiting or had at the last publication; those told longest ago go first. Results
+// carry estimates too, but only to the state that they belong to.
 func (s *State) publishEstimates() {
 	o := &s.traffic.owner
 	o.publishing = false
-	news := map[identifier.HostID][]ServerEstimate{}
+	var notices []notice
 	for _, id := range sortedKeys(o.accounts) {
 		a := o.accounts[id]
 		a.forgetSubmitters(s.now)
-		waits := !a.queue.Empty()
-		if waits || a.waited {
-			for host := range a.submitters {
-				news[host] = append(news[host], ServerEstimate{Server: id, Estimate: s.estimate(id, a)})
-			}
+		if !a.queue.Empty() || a.waited {
+			notices = append(notices, a.notices(id)...)
 		}
-		a.waited = waits
+		a.waited = !a.queue.Empty()
 		if len(a.submitters) > 0 {
 			s.schedulePublication()
 		}
 	}
-	for _, host := range sortedKeys(news) {
-		s.emit(Send{To: host, Event: QueuesEstimated{Servers: news[host]}})
+	slices.SortStableFunc(notices, func(x, y notice) int { return cmp.Compare(x.told, y.told) })
+	s.sendNotices(notices[:min(len(notices), maxPublished)])
+}
+
+// notices returns what is due to the submitters of a server, in order of host.
+func (a *account) notices(id identifier.ServerID) []notice {
+	var notices []notice
+	for _, host := range sortedKeys(a.submitters) {
+		notices = append(notices, notice{host: host, server: id, told: a.submitters[host].told})
 	}
+	return notices
 }
 
-// forgetSubmitters drops the hosts that have submitted nothing for a while.
-func (a *account) forgetSubmitters(now identifier.Instant) {
-	for host, at := range a.submitters {
-		if now.Since(at) > submitterTerm {
-			delete(a.submitters, host)
-		}
+// sendNotices sends each host its estimates in one event.
+func (s *State) sendNotices(notices []notice) {
+	news := map[identifier.HostID][]ServerEstimate{}
+	for _, n := range notices {
+		a := s.traffic.owner.accounts[n.server]
+		a.submitters[n.host].told = s.now
+		news[n.host] = append(news[n.host], ServerEstimate{Server: n.server, Estimate: s.estimate(n.server, a)})
+	}
+	for _, host := range sortedKeys(news) {
+		s.emit(Send{To: host, Event: QueuesEstimated{Servers: news[host]}})
 	}
 }
--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -90,10 +90,11 @@
 	return shards[len(shards)-1]
 }
 
-// flooded reports whether needed work waits at every other server of the shard.
+// flooded reports whether needed work of the query's rank or more urgent waits at
+// every other server of the shard.
 func (s *State) flooded(q *query, index int) bool {
 	for _, id := range q.plan.Servers[index] {
-		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id) {
+		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, q.rank) {
 			return false
 		}
 	}
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -75,7 +75,7 @@
 	if _, ok := a.flights[e.Attempt]; ok {
 		return
 	}
-	a.submitters[e.From] = s.now
+	a.noteSubmitter(s.now, e.From)
 	a.raiseFloor(s.traffic.view, e)
 	deadline := s.now.Add(e.Remaining)
 	j := &job{ID: e.Attempt, Rank: e.Rank, Deadline: deadline, Payload: e}
