--- a/cmd/lagooncleat/control_test.go
+++ b/cmd/lagooncleat/control_test.go
@@ -17,7 +17,7 @@
 )
 
 // group is control hosts in processes of their own: three, and one to spare
-// that is no member at first.
+// that is no member at first, and perhaps entry hosts without a disk.
 type group struct {
 	*deployment
 	files   []string
@@ -28,15 +28,27 @@
 	turn    int
 }
 
+// controlCount is how many members a group begins with.
+const controlCount = 3
+
 func newGroup(number, spare int) *group {
+	return newMixedGroup(number, spare, 0)
+}
+
+// newMixedGroup adds so many entry hosts without a disk.
+func newMixedGroup(number, spare, plain int) *group {
 	g := &group{deployment: newDeployment(number)}
 	g.write("customers.yaml", deskCustomers())
-	g.hosts = g.settings(3 + spare)
+	g.hosts = g.settings(controlCount + spare + plain)
 	for i := range g.hosts {
-		for _, h := range g.hosts[:max(3, i+1)] {
+		known := controlCount
+		if i < controlCount+spare {
+			known = max(known, i+1)
+			g.hosts[i].Control.DataFolder = "data-" + string(g.hosts[i].Host)
+		}
+		for _, h := range g.hosts[:known] {
 			g.hosts[i].Control.Hosts = append(g.hosts[i].Control.Hosts, h.Host)
 		}
-		g.hosts[i].Control.DataFolder = "data-" + string(g.hosts[i].Host)
 		g.files = append(g.files, g.write(string(g.hosts[i].Host)+".yaml", g.hosts[i]))
 		g.running = append(g.running, g.start(program, "serve", "--settings", g.files[i]))
 	}
