pkg/hedger: judge overload by the rank

Cause: in a flood of deferrable work the pooled median of all ranks tripled, so the service counted as overloaded and urgent attempts, which pass that work, got no hedges.

Change: the median of the attempt's own rank is compared with the service's baseline; the owners' estimates withhold hedges of other ranks while any work waits, and of urgent ones while urgent work does. hedger_test.go passes the rank; its bounds stay.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -37,7 +37,7 @@
 	keepBusy = 6
 	// latePressure is the pressure from which a wait counts in full however short the queue.
 	latePressure = 0.8
-	// floodBacklog is how many jobs of a rank and more urgent ones wait at a server in a flood.
+	// floodBacklog is how many jobs wait at a server in a flood.
 	floodBacklog = 4
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
@@ -131,16 +131,18 @@
 	return max(late, full)
 }
 
-// Flooded reports whether work as urgent as the rank or more waits at the server,
-// so that an attempt above the need would displace it.
+// Flooded reports whether work waits at the server that an attempt of the rank
+// above the need would displace: urgent attempts pass all work but urgent.
 func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID, rank identifier.Rank) bool {
 	h, ok := a.servers[id]
 	if !ok || now.Since(h.at) > EstimateTerm {
 		return false
 	}
 	waiting := 0
-	for _, jobs := range h.estimate.Backlog[:rank+1] {
-		waiting += int(jobs)
+	for r, jobs := range h.estimate.Backlog {
+		if rank != identifier.Urgent || r == int(identifier.Urgent) {
+			waiting += int(jobs)
+		}
 	}
 	return waiting >= floodBacklog
 }
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -13,7 +13,7 @@
 //	h.Need(policy.HedgeBudget)
 //	h.Observe(identifier.Urgent, 6*identifier.Millisecond)
 //	delay, ok := h.Delay(identifier.Urgent, policy.HedgeBudget)
-//	if ok && h.Spend() {
+//	if ok && h.Spend(identifier.Urgent) {
 //		submitHedge()
 //	}
 package hedger
@@ -53,14 +53,15 @@
 	share  identifier.Ratio
 	high   identifier.Micros
 	median identifier.Micros
+	// recent is the median of the latest summary, for the signs of overload.
+	recent identifier.Micros
 }
 
 // Hedger holds the measurements and the hedge budget of one service.
 type Hedger struct {
 	ranks    [identifier.RankCount]summary
-	pooled   digest
 	observed int
-	median   identifier.Micros
+	// baseline is the least median of all ranks, in microseconds; it rises slowly.
 	baseline identifier.Micros
 	refusals float64
 	budget   throttler.Throttler
@@ -81,23 +82,22 @@
 	r := &h.ranks[rank]
 	r.digest.add(latency)
 	r.fresh++
-	h.pooled.add(latency)
 	h.refusals -= h.refusals * refusalWeight
 	h.observed++
 	if h.observed%summaryInterval == 0 {
-		h.summarise()
+		h.summarise(r)
 	}
 }
 
-// summarise computes the median of the service and lets its baseline follow
+// summarise computes the median of a rank and lets the service's baseline follow
 // downwards at once and upwards slowly.
-func (h *Hedger) summarise() {
-	h.median = h.pooled.quantile(0.5)
-	if h.baseline == 0 || h.median < h.baseline {
-		h.baseline = h.median
+func (h *Hedger) summarise(r *summary) {
+	r.recent = r.digest.quantile(0.5)
+	if h.baseline == 0 || r.recent < h.baseline {
+		h.baseline = r.recent
 		return
 	}
-	h.baseline += (h.median - h.baseline) / baselineDivisor
+	h.baseline += (r.recent - h.baseline) / baselineDivisor
 }
 
 // Refuse counts an attempt that the service did not run.
@@ -105,9 +105,11 @@
 	h.refusals += (1 - h.refusals) * refusalWeight
 }
 
-// Overloaded reports whether the service refuses attempts, or answers far more slowly than it can.
-func (h *Hedger) Overloaded() bool {
-	return h.refusals > overloadRefusals || h.median > overloadFactor*h.baseline
+// Overloaded reports whether the service refuses attempts, or answers those of the
+// rank far more slowly than it can. A flood of a less urgent rank, which attempts of this one
+// pass in the queues, does not count.
+func (h *Hedger) Overloaded(rank identifier.Rank) bool {
+	return h.refusals > overloadRefusals || h.ranks[rank].recent > overloadFactor*h.baseline
 }
 
 // Delay returns how long to wait for an attempt of the rank before a hedge, in
@@ -130,10 +132,10 @@
 	return max(MinDelay, min(r.high, medianFactor*r.median)), true
 }
 
-// Spend takes a hedge from the budget; it reports false when the budget is spent
+// Spend takes a hedge of the rank from the budget; it reports false when the budget is spent
 // or the service is overloaded.
-func (h *Hedger) Spend() bool {
-	return !h.Overloaded() && h.budget.Spend()
+func (h *Hedger) Spend(rank identifier.Rank) bool {
+	return !h.Overloaded(rank) && h.budget.Spend()
 }
 
 // Kept reports whether the hedges so far lie within the budget.
--- a/pkg/hedger/hedger_test.go
+++ b/pkg/hedger/hedger_test.go
@@ -61,8 +61,8 @@
 			delay, ok := h.Delay(identifier.Urgent, budget)
 			gomega.Expect(ok).To(gomega.BeTrue())
 			gomega.Expect(delay).To(gomega.And(gomega.BeNumerically(">=", c.least), gomega.BeNumerically("<=", c.most)))
-			gomega.Expect(h.Overloaded()).To(gomega.Equal(c.overloaded))
-			gomega.Expect(h.Spend()).To(gomega.Equal(len(c.phases) > 0 && !c.overloaded))
+			gomega.Expect(h.Overloaded(identifier.Urgent)).To(gomega.Equal(c.overloaded))
+			gomega.Expect(h.Spend(identifier.Urgent)).To(gomega.Equal(len(c.phases) > 0 && !c.overloaded))
 			gomega.Expect(h.Kept()).To(gomega.BeTrue())
 		})
 	}
--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -90,7 +90,7 @@
 	return shards[len(shards)-1]
 }
 
-// flooded reports whether needed work of the query's rank or more urgent waits at
+// flooded reports whether an attempt above the need would displace needed work at
 // every other server of the shard.
 func (s *State) flooded(q *query, index int) bool {
 	for _, id := range q.plan.Servers[index] {
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -66,7 +66,7 @@
 		return
 	}
 	known := s.traffic.service(q.plan.Shards[a.shard].Service)
-	if !known.hedger.Spend() {
+	if !known.hedger.Spend(q.rank) {
 		s.count(HedgesWithheldCounter, q.Customer, q.rank)
 		return
 	}
