pkg/reducer: halve the share of hedges in a flood

Change: while work of any rank waits at every other server, the delay before a hedge is the quantile of half the customer's budget.

--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -9,8 +9,12 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
-// leastRetryAfter is the least hint for a caller whose query was refused early.
-const leastRetryAfter = 100 * identifier.Millisecond
+const (
+	// leastRetryAfter is the least hint for a caller whose query was refused early.
+	leastRetryAfter = 100 * identifier.Millisecond
+	// floodHedgeDivisor lowers the share of hedges in a flood.
+	floodHedgeDivisor = 2
+)
 
 // refuseOnArrival returns the failure of a repeatable query that can't get enough of
 // its parts in time, or nil. Others are refused only once the ledger has granted them:
@@ -93,8 +97,23 @@
 // flooded reports whether an attempt above the need would displace needed work at
 // every other server of the shard.
 func (s *State) flooded(q *query, index int) bool {
+	return s.waits(q, index, q.rank)
+}
+
+// hedgeShare returns the share of hedges that the query aims at: its customer's budget, or
+// part of it while needed work of any rank waits at every other server.
+func (s *State) hedgeShare(q *query, index int) identifier.Ratio {
+	if s.waits(q, index, identifier.Deferrable) {
+		return q.policy.HedgeBudget / floodHedgeDivisor
+	}
+	return q.policy.HedgeBudget
+}
+
+// waits reports whether work that an attempt of the rank would displace waits at
+// every other server of the shard.
+func (s *State) waits(q *query, index int, rank identifier.Rank) bool {
 	for _, id := range q.plan.Servers[index] {
-		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, q.rank) {
+		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, rank) {
 			return false
 		}
 	}
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -11,7 +11,7 @@
 		return identifier.Never
 	}
 	known := s.traffic.service(q.plan.Shards[index].Service)
-	delay, ok := known.hedger.Delay(q.rank, q.policy.HedgeBudget)
+	delay, ok := known.hedger.Delay(q.rank, s.hedgeShare(q, index))
 	if !ok || s.now.Add(delay) >= q.deadline {
 		return identifier.Never
 	}
