--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -11,7 +11,7 @@
 		return identifier.Never
 	}
 	known := s.traffic.service(q.plan.Shards[index].Service)
-	delay, ok := known.hedger.Delay(q.rank, q.policy.HedgeBudget)
+	delay, ok := known.hedger.Delay(q.rank, s.hedgeShare(q, index))
 	if !ok || s.now.Add(delay) >= q.deadline {
 		return identifier.Never
 	}
@@ -66,7 +66,7 @@
 		return
 	}
 	known := s.traffic.service(q.plan.Shards[a.shard].Service)
-	if !known.hedger.Spend() {
+	if !known.hedger.Spend(q.rank) {
 		s.count(HedgesWithheldCounter, q.Customer, q.rank)
 		return
 	}
