internal/experimenter: check refusals as not run, and claim nothing by noise

Cause: the tool did not check that a query refused as not run ran nowhere, and when every run was too noisy it still said met. The fakes now report the bodies that they run, a false refusal is a violation, and a figure of noisy runs alone counts as missed. Tests: tables of both.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -65,6 +65,9 @@
 	Epoch       identifier.Epoch
 	Versions    []identifier.IndexVersion
 	Seed        uint64
+	// Observe, if set, is called by the backend servers with the body of each
+	// attempt that they run; calls come from several goroutines.
+	Observe func(body []byte)
 }
 
 // Deployment is a running plan.
@@ -224,6 +227,7 @@
 				ServiceTime:     service.ServiceTime,
 				ConnectionSetup: service.ConnectionSetup,
 				Holdings:        []leaser.Holding{{Epoch: p.Epoch, Range: service.Range, Versions: p.Versions}},
+				Observe:         p.Observe,
 				Seed:            p.Seed + uint64(len(d.Servers)),
 			}, l)
 			if err != nil {
--- a/internal/experimenter/figure.go
+++ b/internal/experimenter/figure.go
@@ -30,7 +30,8 @@
 	Crashes struct{}
 	// LostServices counts the services all of whose servers were down at once.
 	LostServices struct{}
-	// Violations counts answers with false coverage, mixed snapshots or another query's parts.
+	// Violations counts answers with false coverage, mixed snapshots or another
+	// query's parts, and refusals as not run of queries that ran.
 	Violations struct{}
 )
 
@@ -118,11 +119,13 @@
 	Figure float64
 	// Least and Most are the spread over the runs.
 	Least, Most float64
+	// Noisy is set when every run was too noisy to count.
+	Noisy bool
 }
 
-// Met reports whether the requirement is met.
+// Met reports whether the requirement is met by runs that count.
 func (f Finding) Met() bool {
-	return f.Requirement.met(f.Figure)
+	return !f.Noisy && f.Requirement.met(f.Figure)
 }
 
 // String returns the figure, the target and whether it is met.
--- a/internal/experimenter/figure_test.go
+++ b/internal/experimenter/figure_test.go
@@ -125,6 +125,57 @@
 	}
 })
 
+var _ = ginkgo.Describe("a refusal as not run", func() {
+	cases := []struct {
+		name, body string
+		violations int
+	}{
+		{"is true when another query ran", `"another"`, 0},
+		{"is false when the query ran", `"token"`, 1},
+	}
+	for _, c := range cases {
+		ginkgo.It(c.name, func() {
+			ran := &ranTokens{}
+			ran.add([]byte(c.body))
+			s := segment(outcome{kind: refused, token: "token"})
+			s.checkRefusals(ran)
+			gomega.Expect(s.Violations).To(gomega.HaveLen(c.violations))
+		})
+	}
+})
+
+var _ = ginkgo.Describe("Report", func() {
+	late := segment(good(identifier.Urgent, 10, time.Millisecond)...)
+	record(late.Lag, time.Second)
+	quiet := segment(good(identifier.Urgent, 5, time.Millisecond)...)
+	quiet.Cores, quiet.TimeScale, late.Cores, late.TimeScale = 1, 1, 1, 1
+	quiet.LateRuns, late.LateRuns = 1, 2
+	cases := []struct {
+		name     string
+		measure  Measure
+		runs     [][]Segment
+		figure   float64
+		met      bool
+		judgedOn int
+	}{
+		{"leaves out noisy runs", LatencyRatio{}, [][]Segment{{late}, {quiet}}, 1, true, 1},
+		{"meets nothing by noisy runs alone", LatencyRatio{}, [][]Segment{{late}, {late}}, 1, false, 0},
+		{"counts faults in noisy runs too", LateRuns{}, [][]Segment{{late}, {quiet}}, 2, true, 1},
+	}
+	for _, c := range cases {
+		ginkgo.It(c.name, func() {
+			r := Report{Experiment: Experiment{Requirements: []Requirement{{Measure: c.measure, Bound: 2}}}}
+			for _, run := range c.runs {
+				r.add(run)
+			}
+			f := r.Findings("")[0]
+			gomega.Expect(f.Figure).To(gomega.Equal(c.figure))
+			gomega.Expect(f.Met()).To(gomega.Equal(c.met))
+			gomega.Expect(r.of("", true)).To(gomega.HaveLen(c.judgedOn))
+		})
+	}
+})
+
 var _ = ginkgo.Describe("the check of an answer", func() {
 	const low = `{"server":"s","range":{"from":0,"to":2147483648},"body":` +
 		`{"server":"s","range":{"from":0,"to":2147483648},"snapshot":{"epoch":1,"version":1},"echo":"t"}}`
--- a/internal/experimenter/generator.go
+++ b/internal/experimenter/generator.go
@@ -112,7 +112,7 @@
 	return outcome{
 		kind: r.kind, customer: a.customer, rank: a.rank, measured: a.at >= g.warmup,
 		latency: latency, inTime: latency <= timeout+2*delay+timeoutSlack, lag: lag,
-		parts: r.parts, coverage: r.coverage, violation: r.violation,
+		parts: r.parts, coverage: r.coverage, violation: r.violation, token: token,
 	}
 }
 
--- a/internal/experimenter/report.go
+++ b/internal/experimenter/report.go
@@ -60,20 +60,22 @@
 	return false
 }
 
-// Findings returns the judged requirements of a policy. When every run was
-// noisy all of them count.
+// Findings returns the judged requirements of a policy. When every run was too
+// noisy to count, all are shown but meet nothing; faults count in every run.
 func (r *Report) Findings(policy string) []Finding {
-	runs := r.of(policy, true)
-	if len(runs) == 0 {
-		runs = r.of(policy, false)
-	}
+	all, quiet := r.of(policy, false), r.of(policy, true)
 	var findings []Finding
 	for _, requirement := range r.Experiment.Requirements {
-		judged := runs
-		if counted(requirement.Measure) {
-			judged = r.of(policy, false)
+		switch {
+		case counted(requirement.Measure):
+			findings = append(findings, judge(requirement, all))
+		case len(quiet) == 0:
+			f := judge(requirement, all)
+			f.Noisy = true
+			findings = append(findings, f)
+		default:
+			findings = append(findings, judge(requirement, quiet))
 		}
-		findings = append(findings, judge(requirement, judged))
 	}
 	return findings
 }
@@ -100,6 +102,9 @@
 	findings := r.Findings(PolicyName)
 	r.writeFindings(w, "", findings[1:])
 	headline := findings[0]
+	if headline.Noisy {
+		fmt.Fprintln(w, "every run was too noisy to count: the figure is shown, and counts as missed")
+	}
 	fmt.Fprintf(w, "spread of %s over the runs: %.4g to %.4g\n",
 		headline.Requirement.Measure, headline.Least, headline.Most)
 	_, err := fmt.Fprintf(w, "%s: %s\n", r.Experiment.Name, headline)
--- a/internal/experimenter/run.go
+++ b/internal/experimenter/run.go
@@ -101,6 +101,8 @@
 // open starts the deployment and, for the baselines, their own backend servers.
 func (b *bench) open(loggers *logger.Set) error {
 	plan := b.options.Region.Plan(b.options.TimeScale)
+	ran := &ranTokens{}
+	plan.Observe = ran.add
 	d, err := demonstrator.New(plan, loggers)
 	if err != nil {
 		return err
@@ -110,10 +112,11 @@
 		MaxIdleConnsPerHost: clientConnections, MaxConnsPerHost: clientConnections, DisableCompression: true,
 	}}
 	b.closers = append(b.closers, client.CloseIdleConnections)
-	b.enter(PolicyName, &deployed{d, client}, d, plan)
+	b.enter(PolicyName, &deployed{d, client, ran}, d, plan)
 	if !b.experiment.Baselines {
 		return nil
 	}
+	plan.Observe = nil
 	servers, err := demonstrator.NewServers(plan, loggers)
 	if err != nil {
 		return err
@@ -224,6 +227,9 @@
 	helpers.Wait()
 	s.Wall, s.Processor = time.Since(start), processorTime()-used
 	s.LostServices = watch.lost
+	if d, ok := c.subject.(*deployed); ok {
+		s.checkRefusals(d.ran)
+	}
 	takeTallies(c.stage).since(before, s)
 	return s
 }
--- a/internal/experimenter/segment.go
+++ b/internal/experimenter/segment.go
@@ -69,6 +69,8 @@
 	Processor, Wall time.Duration
 	// Lag holds the tool's own delay in sending, in microseconds.
 	Lag *hdrhistogram.Histogram
+	// refusedTokens are of the queries refused as not run.
+	refusedTokens []string
 	// Cores is how many the machine has.
 	Cores int
 }
@@ -135,6 +137,7 @@
 	parts     int
 	coverage  identifier.Ratio
 	violation string
+	token     string
 }
 
 // add counts one outcome.
@@ -143,6 +146,9 @@
 	if o.violation != "" {
 		s.Violations = append(s.Violations, o.violation)
 	}
+	if o.kind == refused {
+		s.refusedTokens = append(s.refusedTokens, o.token)
+	}
 	if !o.measured {
 		return
 	}
@@ -167,6 +173,17 @@
 	record(r.Latency, o.latency)
 }
 
+// checkRefusals counts a violation for each query that was refused as not run and did run.
+func (s *Segment) checkRefusals(ran *ranTokens) {
+	for _, token := range s.refusedTokens {
+		if ran.has(token) {
+			s.Violations = append(s.Violations, fmt.Sprintf("query %s was refused as not run, and ran", token))
+		}
+	}
+	s.refusedTokens = nil
+	ran.bodies.Clear()
+}
+
 // record adds a span to a histogram, at most its bound.
 func record(h *hdrhistogram.Histogram, d time.Duration) {
 	// A value within the bounds is never rejected.
--- a/internal/experimenter/subject.go
+++ b/internal/experimenter/subject.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/lagooncleat/lagooncleat/internal/demonstrator"
@@ -23,11 +24,25 @@
 type deployed struct {
 	*demonstrator.Deployment
 	client *http.Client
+	ran    *ranTokens
 }
 
 func (*deployed) isSubject() {}
 func (*alone) isSubject()    {}
 
+// ranTokens are the bodies of the queries that backend servers ran.
+type ranTokens struct{ bodies sync.Map }
+
+func (r *ranTokens) add(body []byte) {
+	r.bodies.Store(string(body), struct{}{})
+}
+
+// has reports whether a query with the token ran anywhere.
+func (r *ranTokens) has(token string) bool {
+	_, ok := r.bodies.Load(fmt.Sprintf("%q", token))
+	return ok
+}
+
 // query is one query of the load.
 type query struct {
 	customer    configurer.Customer
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -50,6 +50,8 @@
 	// ConnectionSetup delays the first bytes of each new connection.
 	ConnectionSetup time.Duration
 	Holdings        []leaser.Holding
+	// Observe, if set, is called with the body of each attempt that gets a slot.
+	Observe func(body []byte)
 	// Seed feeds the service times.
 	Seed uint64
 }
@@ -252,6 +254,9 @@
 		return
 	}
 	defer func() { <-s.slots }()
+	if s.parameters.Observe != nil {
+		s.parameters.Observe(body.Body)
+	}
 	if s.misbehave(w, body) {
 		return
 	}
