pkg/reducer: tell a restarted host which requests crash servers

Cause: a host that had restarted knew no suspects, so a request resent there was scattered again. Change: hosts brief one whose connection ended, or that is new to them, at its next heartbeat.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -172,6 +172,19 @@
 	}
 }
 
+// Services returns the services that lost calls with each fingerprint that still
+// counts, in order of fingerprint.
+func (q *Quarantiner) Services(now identifier.Instant, visit func(identifier.Fingerprint, identifier.ServiceID)) {
+	for _, f := range slices.Sorted(maps.Keys(q.entries)) {
+		if q.entries[f].until <= now {
+			continue
+		}
+		for _, id := range q.entries[f].services {
+			visit(f, id)
+		}
+	}
+}
+
 func (q *Quarantiner) entry(now identifier.Instant, f identifier.Fingerprint) *entry {
 	e, ok := q.entries[f]
 	if ok && e.until > now {
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -142,6 +142,21 @@
 	s.releaseHeld(f)
 }
 
+// brief tells a host that may have just started which requests are suspects, and
+// of their crashes, before callers send them there again.
+func (s *State) brief(host identifier.HostID, known bool) {
+	if known && !s.control.unbriefed[host] {
+		return
+	}
+	delete(s.control.unbriefed, host)
+	s.suspects.Services(s.now, func(f identifier.Fingerprint, id identifier.ServiceID) {
+		s.emit(Send{To: host, Event: FingerprintSuspected{Fingerprint: f, Service: id}})
+	})
+	s.suspects.Crashes(s.now, func(f identifier.Fingerprint, c quarantiner.Crash) {
+		s.emit(Send{To: host, Event: FingerprintCrashed{Fingerprint: f, Crash: c, Age: s.now.Since(c.At)}})
+	})
+}
+
 // repeatCrashes tells the other hosts of the crashes whose fingerprint this host is the arbiter of.
 func (s *State) repeatCrashes() {
 	hosts := s.control.liveHosts()
--- a/pkg/reducer/world_test.go
+++ b/pkg/reducer/world_test.go
@@ -33,7 +33,9 @@
 	counts map[reducer.Counter]int
 	// delay is the one-way delay between hosts, in microseconds; jitter is added to it.
 	delay, jitter identifier.Micros
-	cut           map[identifier.DomainID]bool
+	// crashBack is how long a server stays down that a marked request crashed.
+	crashBack identifier.Micros
+	cut       map[identifier.DomainID]bool
 }
 
 // occurrence is something due at an instant.
@@ -74,6 +76,7 @@
 	mean    identifier.Micros
 	slow    float64
 	down    bool
+	crashes int
 	running map[identifier.AttemptID]bool
 	queued  []func()
 }
@@ -101,7 +104,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), epoch: 1, version: 1, configuration: 1,
 		requests: map[identifier.RequestID]*request{}, counts: map[reducer.Counter]int{},
-		delay: 1500, jitter: 300, cut: map[identifier.DomainID]bool{},
+		delay: 1500, jitter: 300, crashBack: 500 * identifier.Millisecond, cut: map[identifier.DomainID]bool{},
 	}
 	for i := range hosts {
 		w.hosts = append(w.hosts, &node{Host: router.Host{
@@ -376,7 +379,7 @@
 	b.running[c.Attempt] = true
 	incarnation := b.Incarnation
 	if r.marked {
-		w.after(300, func() { w.crash(b, 500*identifier.Millisecond) })
+		w.after(300, func() { w.crash(b, w.crashBack) })
 	}
 	read := c.Snapshot
 	if w.random.IntN(200) == 0 {
@@ -430,6 +433,7 @@
 		return
 	}
 	b.down = true
+	b.crashes++
 	clear(b.running)
 	w.after(back, func() {
 		b.down = false
