--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -42,6 +42,20 @@
 	reducer.OwnershipRenewed{},
 	reducer.QueuesEstimated{},
 	reducer.LeaseRenewed{},
+	reducer.ChangeRequested{},
+	reducer.ObjectsRequested{},
+	reducer.ConfigurationWanted{},
+	reducer.RevisionsSent{},
+	reducer.ContentsSent{},
+	reducer.OperationForwarded{},
+	reducer.OperationRedirected{},
+	reducer.OperationAnswered{},
+	reducer.IntentAnswered{},
+	reducer.MembersRequested{},
+	reducer.LogRecovered{},
+	reducer.RecordsStored{},
+	reducer.StorageFailed{},
+	reducer.ReplicaMessaged{},
 }
 
 // FormatError reports a session file that can't be read.
@@ -69,6 +83,12 @@
 	return b.String()
 }
 
+// typeName returns the name of a type in kebab case, without its type arguments.
+func typeName(t reflect.Type) string {
+	name, _, _ := strings.Cut(t.Name(), "[")
+	return kebab(name)
+}
+
 func scalar(value any) *yaml.Node {
 	node := &yaml.Node{}
 	if err := node.Encode(value); err != nil {
@@ -88,7 +108,7 @@
 // encodeNamed returns the value as a mapping from its type's name to its fields.
 func encodeNamed(value any) *yaml.Node {
 	m := mapping()
-	add(m, kebab(reflect.TypeOf(value).Name()), encode(value))
+	add(m, typeName(reflect.TypeOf(value)), encode(value))
 	return m
 }
 
@@ -179,7 +199,7 @@
 		return nil, &FormatError{node.Line, "an event is a mapping from its name to its fields"}
 	}
 	for _, e := range recordable {
-		if kebab(reflect.TypeOf(e).Name()) != node.Content[0].Value {
+		if typeName(reflect.TypeOf(e)) != node.Content[0].Value {
 			continue
 		}
 		target := reflect.New(reflect.TypeOf(e))
@@ -204,6 +224,8 @@
 		return decodeValue(node, v.Elem())
 	case reflect.Slice:
 		return decodeSlice(node, v)
+	case reflect.Interface:
+		return decodeVariant(node, v)
 	}
 	if err := node.Decode(v.Addr().Interface()); err != nil {
 		return &FormatError{node.Line, err.Error()}
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -38,6 +38,9 @@
 	if !ok || t.at != q.hedgeTimer {
 		return
 	}
+	if s.endIfOverdue(q) {
+		return
+	}
 	q.hedgeTimer = identifier.Never
 	s.refresh(q)
 	for i := range q.attempts {
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -60,6 +60,8 @@
 	arbiter identifier.HostID
 	// granted is set while the query may send a probe; probing, while one is in flight.
 	granted, probing bool
+	// recording is how far the ledger has come with a query that is not repeatable.
+	recording recording
 }
 
 // shard is the progress of one shard of a query's plan.
@@ -78,6 +80,8 @@
 	switch e := event.(type) {
 	case QueryArrived:
 		s.admit(e)
+	case IntentAnswered:
+		s.receiveDecision(e)
 	case QueryAbandoned:
 		s.abandon(e.Request)
 	case AttemptServed:
@@ -98,11 +102,7 @@
 	s.count(QueriesCounter, e.Customer, 0)
 	policy, rank, failure := s.classify(e)
 	if failure != nil {
-		s.count(FailuresCounter, e.Customer, rank)
-		if policy != nil {
-			s.observe(e.Customer, rank, policy.Limits[rank], 0, *failure)
-		}
-		s.emit(Reply{Request: e.Request, Outcome: *failure})
+		s.reject(e, policy, rank, *failure)
 		return
 	}
 	limits := policy.Limits[rank]
@@ -123,7 +123,22 @@
 	}
 	s.traffic.queries[e.Request] = q
 	s.schedule(q.deadline, queryDue{e.Request})
-	s.scatter(q, q.plan)
+	q.begin(q.plan)
+	if !e.Repeatable {
+		s.recordIntent(q)
+		return
+	}
+	s.scatter(q)
+}
+
+// reject ends a query of which nothing has run. The policy is nil when the query
+// names no customer or kind of work, so that no objective applies.
+func (s *State) reject(e QueryArrived, policy *configurer.Policy, rank identifier.Rank, failure Failed) {
+	s.count(FailuresCounter, e.Customer, rank)
+	if policy != nil {
+		s.observe(e.Customer, rank, policy.Limits[rank], 0, failure)
+	}
+	s.emit(Reply{Request: e.Request, Outcome: failure})
 }
 
 // replyMargin returns the time kept back from a timeout for the reply to travel, in microseconds.
@@ -144,8 +159,8 @@
 	if !ok {
 		return nil, 0, &Failed{Kind: UnknownWork, Ran: RanNo, Message: "the customer has no such kind of work"}
 	}
-	if !e.Repeatable {
-		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need the ledger"}
+	if !e.Repeatable && len(s.parameters.ControlHosts) == 0 {
+		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need control hosts"}
 	}
 	if s.standing(e.Fingerprint) == quarantiner.Quarantined {
 		return policy, rank, s.quarantined(e.Fingerprint)
@@ -153,8 +168,8 @@
 	return policy, rank, nil
 }
 
-// scatter begins the plan: it sends an attempt for each shard that has a server.
-func (s *State) scatter(q *query, p *planner.Plan) {
+// begin makes a plan the query's own; nothing of an earlier plan is kept.
+func (q *query) begin(p *planner.Plan) {
 	q.plan = p
 	q.coverage = coverer.New(p.Ranges)
 	q.shards = make([]shard, len(p.Shards))
@@ -164,6 +179,10 @@
 		q.attempts = make([]attempt, 0, len(p.Shards)+1)
 		q.parts = make([]Part, 0, len(p.Shards))
 	}
+}
+
+// scatter sends an attempt for each shard of the plan that has a server.
+func (s *State) scatter(q *query) {
 	for i := range q.shards {
 		s.start(q, i)
 	}
@@ -192,6 +211,17 @@
 // endQueryAtDeadline ends a query with what it has. Until then it waits for every
 // shard, even when its least coverage is met: a more complete answer in time is
 // worth more than an early one.
+// endIfOverdue ends a query whose deadline has passed before its timer was
+// handled, as on a host that was frozen, and reports whether it did. Nothing may
+// start for such a query: it would turn "not run" into "maybe".
+func (s *State) endIfOverdue(q *query) bool {
+	if s.now < q.deadline {
+		return false
+	}
+	s.endQueryAtDeadline(q.Request)
+	return true
+}
+
 func (s *State) endQueryAtDeadline(request identifier.RequestID) {
 	if q, ok := s.traffic.queries[request]; ok {
 		q.ran = q.ran || q.open > 0
@@ -203,8 +233,12 @@
 func (s *State) finish(q *query, kind FailureKind) {
 	s.require(q.ran || q.open == 0, RanInvariant, string(q.Request))
 	s.require(q.partsWidth() == q.coverage.Width(), CoverageInvariant, string(q.Request))
+	s.conclude(q, q.outcome(kind))
+}
+
+// conclude ends a query with an outcome.
+func (s *State) conclude(q *query, outcome Outcome) {
 	s.drop(q)
-	outcome := q.outcome(kind)
 	counter := AnswersCounter
 	if _, failed := outcome.(Failed); failed {
 		counter = FailuresCounter
@@ -212,6 +246,7 @@
 	s.count(counter, q.Customer, q.rank)
 	s.observe(q.Customer, q.rank, q.policy.Limits[q.rank], s.now.Since(q.arrival), outcome)
 	s.emit(Reply{Request: q.Request, Outcome: outcome})
+	s.settle(q, outcome)
 }
 
 // partsWidth sums the hash ranges of the parts.
@@ -246,8 +281,10 @@
 	}
 }
 
+// abandon drops a query whose caller has gone. What is not repeatable goes on, so
+// that its outcome is stored.
 func (s *State) abandon(request identifier.RequestID) {
-	if q, ok := s.traffic.queries[request]; ok {
+	if q, ok := s.traffic.queries[request]; ok && q.Repeatable {
 		s.drop(q)
 	}
 }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -15,6 +15,8 @@
 	Domain identifier.DomainID
 	// Peers are the other entry hosts.
 	Peers []router.Host
+	// ControlHosts are the entry hosts with disks, which keep the replicated log.
+	ControlHosts []identifier.HostID
 	// Strict makes a broken invariant panic; tests set it.
 	Strict bool
 }
@@ -54,6 +56,7 @@
 func (s *State) Reduce(at identifier.Instant, event Event) []Effect {
 	s.now = max(s.now, at)
 	s.effects = s.effects[:0]
+	s.tickReplication()
 	switch e := event.(type) {
 	case ProcessEvent:
 		s.reduceProcess(e)
@@ -61,6 +64,10 @@
 		s.reduceMembership(e)
 	case ConfigurationEvent:
 		s.reduceConfiguration(e)
+	case ReplicationEvent:
+		s.reduceReplication(e)
+	case OperationEvent:
+		s.reduceOperation(e)
 	case QueryEvent:
 		s.reduceQuery(e)
 	case SlotEvent:
@@ -70,6 +77,7 @@
 	default:
 		panic(fmt.Sprintf("reducer: event of unknown family %T", event))
 	}
+	s.settleReplication()
 	s.arm()
 	return s.effects
 }
@@ -78,6 +86,7 @@
 	switch e := event.(type) {
 	case Started:
 		s.random = rand.New(rand.NewPCG(e.Seed, 0))
+		s.control.operations.number = OperationNumber(e.Seed)
 	case Woken:
 		s.wake = identifier.Never
 		s.fire()
@@ -105,8 +114,17 @@
 	switch t := t.(type) {
 	case heartbeatDue:
 		s.sendHeartbeats()
+	case replicationDue:
+		s.fireReplication(t)
 	case expiryDue:
 		s.expireMembers()
+	case startupDue:
+		s.enforce()
+		s.proposeImport()
+	case pullDue:
+		s.pull()
+	case operationDue:
+		s.tryOperation(t.number)
 	case queryDue:
 		s.endQueryAtDeadline(t.request)
 	case hedgeDue:
--- a/pkg/reducer/replan.go
+++ b/pkg/reducer/replan.go
@@ -43,7 +43,8 @@
 	q.waiting = 0
 	q.parked = 0
 	s.count(ReplansCounter, q.Customer, q.rank)
-	s.scatter(q, plan)
+	q.begin(plan)
+	s.scatter(q)
 	return true
 }
 
--- a/pkg/reducer/retry.go
+++ b/pkg/reducer/retry.go
@@ -99,6 +99,9 @@
 	if !ok || t.replan != q.replans || !q.shards[t.shard].waiting {
 		return
 	}
+	if s.endIfOverdue(q) {
+		return
+	}
 	s.refresh(q)
 	q.shards[t.shard].waiting = false
 	q.waiting--
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -15,6 +15,14 @@
 	heartbeatDue struct{}
 	// expiryDue asks control to look for lapsed leases and silent hosts.
 	expiryDue struct{}
+	// replicationDue asks control to run what is due in the replicated log.
+	replicationDue struct{ at identifier.Instant }
+	// startupDue ends a host's wait for the versions of the others.
+	startupDue struct{}
+	// pullDue asks control to ask for a newer configuration.
+	pullDue struct{}
+	// operationDue tries an operation again.
+	operationDue struct{ number OperationNumber }
 	// queryDue ends a query at its deadline.
 	queryDue struct{ request identifier.RequestID }
 	// hedgeDue hedges the slow attempts of a query; at tells it from an older timer.
@@ -41,15 +49,19 @@
 	estimateDue struct{}
 )
 
-func (heartbeatDue) isTimer() {}
-func (expiryDue) isTimer()    {}
-func (queryDue) isTimer()     {}
-func (hedgeDue) isTimer()     {}
-func (retryDue) isTimer()     {}
-func (permitDue) isTimer()    {}
-func (crashesDue) isTimer()   {}
-func (slotDue) isTimer()      {}
-func (estimateDue) isTimer()  {}
+func (heartbeatDue) isTimer()   {}
+func (expiryDue) isTimer()      {}
+func (queryDue) isTimer()       {}
+func (hedgeDue) isTimer()       {}
+func (retryDue) isTimer()       {}
+func (permitDue) isTimer()      {}
+func (crashesDue) isTimer()     {}
+func (slotDue) isTimer()        {}
+func (estimateDue) isTimer()    {}
+func (startupDue) isTimer()     {}
+func (pullDue) isTimer()        {}
+func (operationDue) isTimer()   {}
+func (replicationDue) isTimer() {}
 
 type scheduled struct {
 	at    identifier.Instant
