pkg/chooser: learn of a slow server from a few waits

Cause: each traffic state learns by itself that a server has become slow; with small weights that took more attempts than the first second holds. Ruled out: a larger weight for all latencies (one slow answer of a good server would shun it). Change: a wait in vain beyond the estimate, which hedges report, weighs 0.3 in place of 0.05.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -101,7 +101,7 @@
 // only if the time is above the estimate.
 func (c *Chooser) Wait(now identifier.Instant, id identifier.ServerID, elapsed identifier.Micros) {
 	if r := c.record(id); float64(elapsed) > r.estimate {
-		r.sample(now, elapsed)
+		r.sample(now, elapsed, waitWeight)
 	}
 }
 
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -9,6 +9,9 @@
 const (
 	// sampleWeight is the least weight of a new latency in the estimate.
 	sampleWeight = 0.05
+	// waitWeight is the least weight of a wait in vain that is longer than the estimate.
+	// It is the larger, since each state must learn of a slow server from a few attempts.
+	waitWeight = 0.3
 	// estimateHalfLife is the time in which the evidence that a server is slow loses half of its weight.
 	estimateHalfLife = 4 * identifier.Second
 	// floorWindow is the time over which the least latency is kept.
@@ -48,9 +51,9 @@
 	return count
 }
 
-// sample takes a latency into the estimate.
-func (r *record) sample(now identifier.Instant, latency identifier.Micros) {
-	weight := max(sampleWeight, 1/float64(r.served+1))
+// sample takes a latency into the estimate with at least the weight.
+func (r *record) sample(now identifier.Instant, latency identifier.Micros, least float64) {
+	weight := max(least, 1/float64(r.served+1))
 	if r.estimate == 0 {
 		weight = 1
 	}
@@ -80,7 +83,7 @@
 }
 
 func (r *record) serve(now identifier.Instant, latency identifier.Micros) {
-	r.sample(now, latency)
+	r.sample(now, latency, sampleWeight)
 	r.sampleFloor(now, latency)
 	r.served++
 	r.failures = 0
