--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -32,6 +32,8 @@
 	easyPressure = 0.1
 	// fullPressure is the pressure from which every query is refused.
 	fullPressure = 0.4
+	// floodBacklog is how many jobs of all ranks wait for a server in a flood.
+	floodBacklog = 8
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
 )
@@ -129,6 +131,20 @@
 	return h.estimate.Wait(r, h.submitted[r])
 }
 
+// Flooded reports whether so many jobs of all ranks wait for the server that extra
+// work would only add to the queue.
+func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID) bool {
+	h, ok := a.servers[id]
+	if !ok || now.Since(h.at) > EstimateTerm {
+		return false
+	}
+	waiting := 0
+	for r := range h.estimate.Backlog {
+		waiting += int(h.estimate.Backlog[r]) + h.submitted[r]
+	}
+	return waiting >= floodBacklog
+}
+
 // Chance returns the probability of a refusal at the pressure, from 0 to 1.
 func Chance(pressure float64) float64 {
 	return min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
--- a/pkg/reducer/choice.go
+++ b/pkg/reducer/choice.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"slices"
+
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
@@ -14,6 +16,9 @@
 	if len(candidates) == 0 && p != hedged && last != "" {
 		candidates = s.collect(q, index, "")
 	}
+	if p == hedged {
+		candidates = s.unflooded(candidates)
+	}
 	return s.traffic.chooser.Choose(s.now, candidates, s.random.IntN)
 }
 
@@ -36,6 +41,13 @@
 	return candidates
 }
 
+// unflooded keeps of the candidates those whose queue has room for extra work.
+func (s *State) unflooded(candidates []chooser.Candidate) []chooser.Candidate {
+	return slices.DeleteFunc(candidates, func(c chooser.Candidate) bool {
+		return s.traffic.admitter.Flooded(s.now, c.Server)
+	})
+}
+
 // takesWork reports whether the server may be given new work.
 func (s *Server) takesWork() bool {
 	return s.State != leaser.Draining && s.Owner != ""
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -81,7 +81,7 @@
 	if q.shards[index].open > 1 || s.suspected(q.Fingerprint) {
 		return false
 	}
-	return len(s.collect(q, index, q.shards[index].last)) > 0
+	return len(s.unflooded(s.collect(q, index, q.shards[index].last))) > 0
 }
 
 // observeWait takes in the time that a cancelled attempt had waited in vain. Without it only
--- a/pkg/reducer/query_session_test.go
+++ b/pkg/reducer/query_session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/estimator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
@@ -104,6 +105,17 @@
 		{120 * ms, reducer.Woken{}},
 		served(130*ms, "slow", 2, "high-2", upperHalf, snapshot),
 	}...)},
+	{"no-hedge-in-a-flood", append(replicated(generous), []input{
+		marked(20*ms, "slow"),
+		served(24*ms, "slow", 1, "low-2", lowerHalf, snapshot),
+		{60 * ms, reducer.QueuesEstimated{Servers: []reducer.ServerEstimate{{Server: "high-1", Estimate: estimator.Estimate{
+			Backlog: [identifier.RankCount]uint32{0, 0, 40},
+			Step:    [identifier.RankCount]identifier.Micros{5000, 5000, 5000},
+			Service: 5000,
+		}}}}},
+		{70 * ms, reducer.Woken{}},
+		served(75*ms, "slow", 2, "high-2", upperHalf, snapshot),
+	}...)},
 	{"retry-after-refusals", append(replicated(generous), []input{
 		marked(20*ms, "q"),
 		served(24*ms, "q", 1, "low-2", lowerHalf, snapshot),
