--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -32,8 +32,13 @@
 	easyPressure = 0.1
 	// fullPressure is the pressure from which every query is refused.
 	fullPressure = 0.4
-	// floodBacklog is how many jobs of all ranks wait for a server in a flood.
-	floodBacklog = 8
+	// keepBusy is how many jobs of a rank may wait before refusals are certain, so that
+	// the queue does not run dry between estimates.
+	keepBusy = 6
+	// latePressure is the pressure from which a wait counts in full however short the queue.
+	latePressure = 0.8
+	// floodBacklog is how many jobs of all ranks wait at a server in a flood.
+	floodBacklog = 4
 	// tailServices is how many mean slot times a part is given for its own run.
 	tailServices = 4
 )
@@ -119,20 +124,15 @@
 	}
 	room := max(remaining-tailServices*h.estimate.Service, remaining/tailServices, 1)
 	full := float64(waiting) / float64(a.limit)
-	return max(float64(h.estimate.Wait(r, h.submitted[r]))/float64(room), full)
-}
-
-// Wait returns the time until the server gets to new work of the rank, in microseconds.
-func (a *Admitter) Wait(now identifier.Instant, id identifier.ServerID, r identifier.Rank) identifier.Micros {
-	h, ok := a.servers[id]
-	if !ok || now.Since(h.at) > EstimateTerm {
-		return 0
+	late := float64(h.estimate.Wait(r, h.submitted[r])) / float64(room)
+	if late < latePressure {
+		late = min(late, fullPressure*float64(waiting)/keepBusy)
 	}
-	return h.estimate.Wait(r, h.submitted[r])
+	return max(late, full)
 }
 
-// Flooded reports whether so many jobs of all ranks wait for the server that extra
-// work would only add to the queue.
+// Flooded reports whether work that is already needed waits at the server, so that
+// an attempt above the need would displace it.
 func (a *Admitter) Flooded(now identifier.Instant, id identifier.ServerID) bool {
 	h, ok := a.servers[id]
 	if !ok || now.Since(h.at) > EstimateTerm {
@@ -140,11 +140,20 @@
 	}
 	waiting := 0
 	for r := range h.estimate.Backlog {
-		waiting += int(h.estimate.Backlog[r]) + h.submitted[r]
+		waiting += int(h.estimate.Backlog[r])
 	}
 	return waiting >= floodBacklog
 }
 
+// Wait returns the time until the server gets to new work of the rank, in microseconds.
+func (a *Admitter) Wait(now identifier.Instant, id identifier.ServerID, r identifier.Rank) identifier.Micros {
+	h, ok := a.servers[id]
+	if !ok || now.Since(h.at) > EstimateTerm {
+		return 0
+	}
+	return h.estimate.Wait(r, h.submitted[r])
+}
+
 // Chance returns the probability of a refusal at the pressure, from 0 to 1.
 func Chance(pressure float64) float64 {
 	return min(max((pressure-easyPressure)/(fullPressure-easyPressure), 0), 1)
--- a/pkg/reducer/world_test.go
+++ b/pkg/reducer/world_test.go
@@ -387,7 +387,7 @@
 	}
 	span := identifier.Micros(w.random.ExpFloat64() * float64(b.mean) * b.slow)
 	w.after(span, func() {
-		if b.Incarnation == incarnation && !b.down && n.life == life {
+		if b.Incarnation == incarnation && !b.down && n.life == life && !r.marked {
 			w.endCall(n, c.Server, c.Attempt, reducer.CallServed{
 				Server: c.Server, Attempt: c.Attempt, Snapshot: read, Range: c.Range, Body: bodyOf(c.Attempt.Request, read),
 			})
