pkg/reducer: ask the ledger before a quarantined request is refused as not run

Cause: a quarantined request that is not repeatable was refused at once with ran: no, though an earlier send with the same key may have run. Change: only repeatable requests are refused on arrival; the others once the ledger grants them. Conclusion: the resend hears outcome-unknown and maybe, a fresh one quarantined and no.

--- a/pkg/reducer/configuration_test.go
+++ b/pkg/reducer/configuration_test.go
@@ -6,6 +6,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -81,6 +82,21 @@
 	return answered(at, number, reducer.IntentDecided{Decision: deduplicator.Granted{}})
 }
 
+// guiltyTransfer is such a query that crashes servers.
+func guiltyTransfer(at identifier.Instant, request identifier.RequestID) input {
+	i := transferred(at, request)
+	q := i.event.(reducer.QueryArrived)
+	q.Fingerprint = guilty
+	return input{at, q}
+}
+
+// crashedBy is the news of a server that the guilty request crashed.
+func crashedBy(at identifier.Instant, server identifier.ServerID, probe bool) input {
+	return input{at, reducer.FingerprintCrashed{
+		Fingerprint: guilty, Crash: quarantiner.Crash{Server: server, Incarnation: 1, Probe: probe},
+	}}
+}
+
 var accepted = reducer.ChangeDecided{Result: registrar.Accepted{Target: templateT, Version: 4}}
 
 // woken are the wake-ups at every 250 ms from the first instant to the last.
@@ -162,6 +178,14 @@
 		transferred(20*ms, "fresh"),
 		granted(25*ms, 3),
 	)},
+	{"ledger-with-a-quarantined-request", controlledDesk(
+		crashedBy(5*ms, "low-1", false),
+		crashedBy(6*ms, "high-1", true),
+		guiltyTransfer(10*ms, "resent"),
+		answered(15*ms, 2, reducer.IntentDecided{Decision: deduplicator.Unsettled{}}),
+		guiltyTransfer(20*ms, "fresh"),
+		granted(25*ms, 3),
+	)},
 	{"ledger-without-quorum", controlledDesk(
 		transferred(10*ms, "q"),
 		input{12 * ms, reducer.OperationRedirected{Number: 2}},
--- a/pkg/reducer/query.go
+++ b/pkg/reducer/query.go
@@ -163,7 +163,8 @@
 	if !e.Repeatable && len(s.parameters.ControlHosts) == 0 {
 		return policy, rank, &Failed{Kind: LedgerMissing, Ran: RanNo, Message: "requests that are not repeatable need control hosts"}
 	}
-	if s.standing(e.Fingerprint) == quarantiner.Quarantined {
+	// Without the ledger's word an earlier send of a request that is not repeatable may have run.
+	if e.Repeatable && s.standing(e.Fingerprint) == quarantiner.Quarantined {
 		return policy, rank, s.quarantined(e.Fingerprint)
 	}
 	return policy, rank, nil
