internal/listener: let an operator release a quarantined request

Cause: only expiry ended a quarantine. Change: POST /v1/quarantine/{fingerprint}/release delivers QuarantineReleased, which clears the fingerprint on all hosts; the session quarantine-after-a-probe uses it.

--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -10,10 +10,11 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// Views gives the latest view of a host; the executor's Host does.
+// Views gives the latest view of a host and takes events into it; the executor's Host does.
 type Views interface {
 	View() *reducer.View
 	Now() identifier.Instant
+	Deliverer
 }
 
 // operators is the interface for operators and for the platform's balancer.
@@ -35,6 +36,7 @@
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /v1/burn", o.burn)
 	(&configuration{host: host, operations: c}).register(mux)
+	(&quarantine{deliverer: v}).register(mux)
 	return mux
 }
 
--- a/pkg/recorder/format.go
+++ b/pkg/recorder/format.go
@@ -38,6 +38,7 @@
 	reducer.FingerprintSuspected{},
 	reducer.FingerprintCrashed{},
 	reducer.FingerprintCleared{},
+	reducer.QuarantineReleased{},
 	reducer.ProbeAsked{},
 	reducer.ProbeReturned{},
 	reducer.ProbeGranted{},
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -59,10 +59,18 @@
 	}
 )
 
+// QuarantineReleased is an operator's word that a request may run again.
+type QuarantineReleased struct {
+	quarantineEvent
+	Fingerprint identifier.Fingerprint
+}
+
 func (s *State) reduceQuarantine(event QuarantineEvent) {
 	switch e := event.(type) {
 	case ProbeAsked:
 		s.grantProbe(e)
+	case QuarantineReleased:
+		s.tellStates(FingerprintCleared{Fingerprint: e.Fingerprint})
 	case ProbeReturned:
 		asker := quarantiner.Asker{Host: e.From, Request: e.Request}
 		if next, ok := s.control.arbiter.Return(s.now, e.Fingerprint, asker); ok {
--- a/pkg/reducer/query_session_test.go
+++ b/pkg/reducer/query_session_test.go
@@ -154,7 +154,7 @@
 		held(500*ms, "low-2", "low", 2, 1, lowerHalf, 7),
 		held(600*ms, "low-1", "low", 2, 1, lowerHalf, 7),
 		marked(610*ms, "again"),
-		{700 * ms, reducer.FingerprintCleared{Fingerprint: guilty}},
+		{700 * ms, reducer.QuarantineReleased{Fingerprint: guilty}},
 		marked(710*ms, "released"),
 	}...)},
 	{"cleared-by-a-probe", append(replicated(generous), []input{
