--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -94,26 +94,20 @@
 	return shards[len(shards)-1]
 }
 
-// flooded reports whether an attempt above the need would displace needed work at
-// every other server of the shard.
-func (s *State) flooded(q *query, index int) bool {
-	return s.waits(q, index, q.rank)
-}
-
 // hedgeShare returns the share of hedges that the query aims at: its customer's budget, or
 // part of it while needed work of any rank waits at every other server.
 func (s *State) hedgeShare(q *query, index int) identifier.Ratio {
-	if s.waits(q, index, identifier.Deferrable) {
+	if s.deferrableWaits(q, index) {
 		return q.policy.HedgeBudget / floodHedgeDivisor
 	}
 	return q.policy.HedgeBudget
 }
 
-// waits reports whether work that an attempt of the rank would displace waits at
-// every other server of the shard.
-func (s *State) waits(q *query, index int, rank identifier.Rank) bool {
+// deferrableWaits reports whether work waits at every other server of the shard
+// that an attempt of the last rank would displace.
+func (s *State) deferrableWaits(q *query, index int) bool {
 	for _, id := range q.plan.Servers[index] {
-		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, rank) {
+		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, identifier.Deferrable) {
 			return false
 		}
 	}
--- a/pkg/reducer/hedge.go
+++ b/pkg/reducer/hedge.go
@@ -78,10 +78,10 @@
 // mayHedge reports whether a second attempt for the shard has a server to go to.
 // A suspect request runs on one server at a time.
 func (s *State) mayHedge(q *query, index int) bool {
-	if q.shards[index].open > 1 || s.suspected(q.Fingerprint) || s.flooded(q, index) {
+	if q.shards[index].open > 1 || s.suspected(q.Fingerprint) {
 		return false
 	}
-	return len(s.collect(q, index, q.shards[index].last)) > 0
+	return len(s.unflooded(s.collect(q, index, q.shards[index].last))) > 0
 }
 
 // observeWait takes in the time that a cancelled attempt had waited in vain. Without it only
