--- a/pkg/reducer/query_session_test.go
+++ b/pkg/reducer/query_session_test.go
@@ -4,6 +4,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/estimator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -61,6 +62,13 @@
 	return input{at, e}
 }
 
+// suspectSubmitted is an attempt of another host for low-1, with a fingerprint.
+func suspectSubmitted(at identifier.Instant, request identifier.RequestID, f identifier.Fingerprint, probe bool) input {
+	e := submitted(at, request, identifier.Urgent, 100*ms).event.(reducer.AttemptSubmitted)
+	e.Fingerprint, e.Probe = f, probe
+	return input{at, e}
+}
+
 // distant is a server of the service low that the host h-2 owns.
 func distant() []input {
 	e := announced("low-9", "low", lowerHalf, 7).event.(reducer.ServerAnnounced)
@@ -93,11 +101,22 @@
 }{
 	{"hedge-and-cancel", append(replicated(generous), []input{
 		marked(20*ms, "slow"),
-		served(24*ms, "slow", 1, "low-2", lowerHalf, snapshot),
 		{70 * ms, reducer.Woken{}},
-		served(75*ms, "slow", 3, "high-1", upperHalf, snapshot),
+		served(75*ms, "slow", 4, "high-1", upperHalf, snapshot),
 		lost(76*ms, "slow", 2, "high-2"),
+		served(80*ms, "slow", 1, "low-2", lowerHalf, snapshot),
+		lost(81*ms, "slow", 3, "low-1"),
 	}...)},
+	{"suspects-held-back-by-the-owner", session([]input{
+		heard(0, "fd-2", false),
+		renewed(0, 2, 2, leaser.Serving),
+		{1 * ms, reducer.FingerprintSuspected{Fingerprint: guilty, Service: "low"}},
+		suspectSubmitted(2*ms, "resent", guilty, false),
+		suspectSubmitted(3*ms, "probe", guilty, true),
+		suspectSubmitted(4*ms, "other", guilty+1, true),
+		ended(9*ms, "probe"),
+		suspectSubmitted(10*ms, "after", guilty+1, true),
+	})},
 	{"hedge-budget-spent", append(replicated(configurer.Budgets{Hedge: 0.1}), []input{
 		marked(20*ms, "slow"),
 		served(24*ms, "slow", 1, "low-2", lowerHalf, snapshot),
