--- a/pkg/reducer/admission.go
+++ b/pkg/reducer/admission.go
@@ -9,8 +9,12 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
-// leastRetryAfter is the least hint for a caller whose query was refused early.
-const leastRetryAfter = 100 * identifier.Millisecond
+const (
+	// leastRetryAfter is the least hint for a caller whose query was refused early.
+	leastRetryAfter = 100 * identifier.Millisecond
+	// floodHedgeDivisor lowers the share of hedges in a flood.
+	floodHedgeDivisor = 2
+)
 
 // refuseOnArrival returns the failure of a repeatable query that can't get enough of
 // its parts in time, or nil. Others are refused only once the ledger has granted them:
@@ -90,6 +94,26 @@
 	return shards[len(shards)-1]
 }
 
+// hedgeShare returns the share of hedges that the query aims at: its customer's budget, or
+// part of it while needed work of any rank waits at every other server.
+func (s *State) hedgeShare(q *query, index int) identifier.Ratio {
+	if s.deferrableWaits(q, index) {
+		return q.policy.HedgeBudget / floodHedgeDivisor
+	}
+	return q.policy.HedgeBudget
+}
+
+// deferrableWaits reports whether work waits at every other server of the shard
+// that an attempt of the last rank would displace.
+func (s *State) deferrableWaits(q *query, index int) bool {
+	for _, id := range q.plan.Servers[index] {
+		if id != q.shards[index].last && !s.traffic.admitter.Flooded(s.now, id, identifier.Deferrable) {
+			return false
+		}
+	}
+	return true
+}
+
 // hearEstimate takes in the estimate that came with a result.
 func (s *State) hearEstimate(id identifier.ServerID, e estimator.Estimate) {
 	s.traffic.admitter.Hear(s.now, id, e)
--- a/pkg/reducer/choice.go
+++ b/pkg/reducer/choice.go
@@ -44,7 +44,7 @@
 // unflooded keeps of the candidates those whose queue has room for extra work.
 func (s *State) unflooded(candidates []chooser.Candidate) []chooser.Candidate {
 	return slices.DeleteFunc(candidates, func(c chooser.Candidate) bool {
-		return s.traffic.admitter.Flooded(s.now, c.Server)
+		return s.traffic.admitter.Flooded(s.now, c.Server, c.Rank)
 	})
 }
 
