--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -35,8 +35,9 @@
 func (*statusCommand) Usage() string {
 	return `status --hosts ADDRESS[,ADDRESS...] [--output table|json]
   Shows for each entry host whether it is ready, the configuration version in
-  force, the live entry hosts and the backend servers with a lease. The exit code
-  is 1 when a host did not answer.
+  force, the control host that leads as far as the host knows, whether it is in
+  touch with the control hosts' quorum, the live entry hosts and the backend
+  servers with a lease. The exit code is 1 when a host did not answer.
 
   Example: lagooncleat status --hosts 127.0.0.1:8003,127.0.0.1:8013
 `
@@ -55,6 +56,7 @@
 	Host          identifier.HostID   `json:"host,omitempty"`
 	Ready         bool                `json:"ready"`
 	Configuration identifier.Version  `json:"configuration-version"`
+	Control       operatorControl     `json:"control"`
 	Hosts         []identifier.HostID `json:"hosts,omitempty"`
 	Servers       json.RawMessage     `json:"servers,omitempty"`
 }
@@ -91,17 +93,18 @@
 
 func writeStatusTable(w io.Writer, all []hostStatus) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "address\thost\tready\tconfiguration\tlive hosts\tservers\terror")
+	fmt.Fprintln(t, "address\thost\tready\tconfiguration\tleader\tin touch\tlive hosts\tservers\terror")
 	for _, s := range all {
 		if s.Error != "" {
-			fmt.Fprintf(t, "%s\t?\t?\t?\t?\t?\t%s\n", s.Address, s.Error)
+			fmt.Fprintf(t, "%s\t?\t?\t?\t?\t?\t?\t?\t%s\n", s.Address, s.Error)
 			continue
 		}
 		var servers []json.RawMessage
 		if err := json.Unmarshal(s.Servers, &servers); err != nil {
 			return fmt.Errorf("status of %s: %w", s.Address, err)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\t%d\t\n", s.Address, s.Host, s.Ready, s.Configuration, len(s.Hosts), len(servers))
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%s\t%t\t%d\t%d\t\n", s.Address, s.Host, s.Ready, s.Configuration,
+			s.Control.Leader, s.Control.InTouch, len(s.Hosts), len(servers))
 	}
 	return t.Flush()
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -127,6 +127,12 @@
 	counters.Gauge("lagooncleat_configuration_version", func() float64 {
 		return float64(r.host.View().Configuration)
 	})
+	counters.Gauge("lagooncleat_control_in_touch", func() float64 {
+		if r.host.View().Control.InTouch {
+			return 1
+		}
+		return 0
+	})
 	r.serve(listener.NewCallers(r.host, counters), r.sockets[Callers])
 	r.serve(listener.NewBackends(r.host), r.sockets[BackendServers])
 	r.serve(listener.NewOperators(s.Host, r.host, r.host, counters, r.Ready), r.sockets[Operators])
