--- a/internal/experimenter/run.go
+++ b/internal/experimenter/run.go
@@ -101,6 +101,8 @@
 // open starts the deployment and, for the baselines, their own backend servers.
 func (b *bench) open(loggers *logger.Set) error {
 	plan := b.options.Region.Plan(b.options.TimeScale)
+	ran := &ranTokens{}
+	plan.Observe = ran.add
 	d, err := demonstrator.New(plan, loggers)
 	if err != nil {
 		return err
@@ -110,10 +112,11 @@
 		MaxIdleConnsPerHost: clientConnections, MaxConnsPerHost: clientConnections, DisableCompression: true,
 	}}
 	b.closers = append(b.closers, client.CloseIdleConnections)
-	b.enter(PolicyName, &deployed{d, client}, d, plan)
+	b.enter(PolicyName, &deployed{d, client, ran}, d, plan)
 	if !b.experiment.Baselines {
 		return nil
 	}
+	plan.Observe = nil
 	servers, err := demonstrator.NewServers(plan, loggers)
 	if err != nil {
 		return err
@@ -177,19 +180,35 @@
 func (b *bench) awaitReady(ctx context.Context, c contestant) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for host := range c.stage.generator.hosts {
-		for _, customer := range c.stage.generator.customers {
-			q := query{customer: customer, work: demonstrator.DeferrableWork, timeout: time.Second, token: "ready", host: host}
-			for ask(ctx, c.subject, q).coverage != 1 {
-				select {
-				case <-ctx.Done():
-					return fmt.Errorf("%w: %s, host %d, customer %s", ErrNotReady, c.name, host+1, customer.ID)
-				case <-time.After(readyInterval):
+	g := c.stage.generator
+	failures := make(chan error, g.hosts*len(g.customers))
+	var group sync.WaitGroup
+	for host := range g.hosts {
+		for _, customer := range g.customers {
+			group.Go(func() {
+				q := query{customer: customer, work: demonstrator.DeferrableWork, timeout: time.Second, token: "ready", host: host}
+				if !awaitAnswer(ctx, c.subject, q) {
+					failures <- fmt.Errorf("%w: %s, host %d, customer %s", ErrNotReady, c.name, host+1, customer.ID)
 				}
-			}
+			})
 		}
 	}
-	return nil
+	group.Wait()
+	close(failures)
+	return <-failures
+}
+
+// awaitAnswer repeats a query until it is answered in full. It reports false
+// when the context ends first.
+func awaitAnswer(ctx context.Context, s subject, q query) bool {
+	for ask(ctx, s, q).coverage != 1 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(readyInterval):
+		}
+	}
+	return true
 }
 
 // playSegment plays one condition and collects its outcomes on one goroutine.
@@ -224,6 +243,9 @@
 	helpers.Wait()
 	s.Wall, s.Processor = time.Since(start), processorTime()-used
 	s.LostServices = watch.lost
+	if d, ok := c.subject.(*deployed); ok {
+		s.checkRefusals(d.ran)
+	}
 	takeTallies(c.stage).since(before, s)
 	return s
 }
