internal/experimenter: send another marked query in each run

Cause: the runs of crash-request resent the same body, so from the second on the quarantine of the first answered and crashed nothing (2, then 0 and 0 crashes over three runs). Each run's body now differs.

--- a/internal/experimenter/action.go
+++ b/internal/experimenter/action.go
@@ -26,6 +26,9 @@
 	generator *generator
 	version   identifier.Version
 	epoch     identifier.Epoch
+	// marked counts the queries that crash servers, so that each run has one
+	// that no host has seen.
+	marked int
 }
 
 // play carries out the steps at their times and returns after the last one, or
@@ -121,6 +124,8 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	timeout := demonstrator.Scaled(s.generator.region.Timeouts[identifier.Urgent], s.generator.scale)
+	s.marked++
+	token := fmt.Sprintf("%s-%d", marker, s.marked)
 	tick := time.NewTicker(a.Interval)
 	defer tick.Stop()
 	for i := range a.Times {
@@ -129,7 +134,7 @@
 			defer cancel()
 			ask(ctx, s.generator.subject, query{
 				customer: s.generator.customers[0], work: demonstrator.UrgentWork,
-				timeout: timeout, token: marker, host: i % s.generator.hosts,
+				timeout: timeout, token: token, host: i % s.generator.hosts,
 			})
 		})
 		select {
