cmd/lagooncleat: tie the process tests' cached results to the programs

Cause: go test printed '(cached)' for the process tests after the runner and the reducer had changed: the programs are built while the tests run, so the cache knew nothing of them, and a fault could have passed as tested. Change: the suite imports what the programs are made of. Before: cached after a change.

--- a/cmd/lagooncleat/lagooncleat_suite_test.go
+++ b/cmd/lagooncleat/lagooncleat_suite_test.go
@@ -6,6 +6,11 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	// The programs are built while the tests run. These imports make the go command's
+	// cache of test results depend on what the programs are made of.
+	_ "github.com/lagooncleat/lagooncleat/internal/commander"
+	_ "github.com/lagooncleat/lagooncleat/internal/faker"
 )
 
 func TestLagooncleat(t *testing.T) {
