pkg/reducer: name no leader that has gone silent

Cause: tried as a new user: 3 s after the leader was killed, two entry hosts still showed it as the leader in status. Before: status named the dead host.

--- a/pkg/reducer/spread.go
+++ b/pkg/reducer/spread.go
@@ -212,11 +212,20 @@
 		status.Leader, status.InTouch = s.leader()
 		return status
 	}
-	status.Leader = s.control.operations.target
+	// The host that took the last operation leads, as far as is known, while it lives.
+	if target := s.control.operations.target; s.hears(target) {
+		status.Leader = target
+	}
 	status.InTouch = s.control.touched > 0 && s.now.Since(s.control.touched) <= ControlSilence
 	return status
 }
 
+// hears reports whether a heartbeat of the host has arrived of late.
+func (s *State) hears(host identifier.HostID) bool {
+	_, ok := s.control.heard[host]
+	return ok
+}
+
 // publishControlStatus publishes a view when what this host knows of the log has changed.
 func (s *State) publishControlStatus() {
 	status := s.controlStatus()
