--- a/pkg/reducer/configuration_test.go
+++ b/pkg/reducer/configuration_test.go
@@ -40,6 +40,7 @@
 	return append([]input{
 		{0, reducer.Started{Seed: 1}},
 		{0, reducer.HostStarted{}},
+		{1 * ms, reducer.HostHeard{Host: "c-1", Domain: "fd-2"}},
 		{1 * ms, reducer.ContentsSent{Host: "c-1", Contents: deskRevisions(3), InTouch: true}},
 		{2 * ms, reducer.RevisionsSent{Host: "c-2", Version: 3}},
 		announced("low-1", "low", lowerHalf, 7),
