internal/executor: match answers to those who wait in one place

Cause: queries, leases and operators each had their own map, lock and take; found by duplicates over the whole tree. Change: waiters, generic over key and answer, serves all three.

--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -24,9 +24,7 @@
 	case reducer.PublishView:
 		h.publish(e.View)
 	case reducer.GrantLease:
-		if c := h.takeLease(e.Ticket); c != nil {
-			c <- Lease{Term: e.Term, Owner: e.Owner}
-		}
+		h.leases.answer(e.Ticket, Lease{Term: e.Term, Owner: e.Owner})
 	case reducer.Call:
 		h.call(e)
 	case reducer.CancelCall:
@@ -34,11 +32,9 @@
 	case reducer.StoreRecords:
 		h.stores.put(e)
 	case reducer.ReplyOperator:
-		h.replyOperator(e)
+		h.operators.answer(e.Ticket, e)
 	case reducer.Reply:
-		if c := h.takeQuery(e.Request); c != nil {
-			c <- e.Outcome
-		}
+		h.queries.answer(e.Request, e.Outcome)
 	default:
 		panic(fmt.Sprintf("executor: unknown effect %T", effect))
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,15 +86,16 @@
 	context      context.Context
 	cancel       context.CancelFunc
 
-	tickets atomic.Uint64
-	mutex   sync.Mutex
-	queries map[identifier.RequestID]chan reducer.Outcome
-	leases  map[reducer.Ticket]chan Lease
-	// operators holds the operators who wait for an answer.
-	operators map[reducer.Ticket]chan reducer.ReplyOperator
+	tickets   atomic.Uint64
+	queries   *waiters[identifier.RequestID, reducer.Outcome]
+	leases    *waiters[reducer.Ticket, Lease]
+	operators *waiters[reducer.Ticket, reducer.ReplyOperator]
 	// stores holds what the storage goroutine is to store.
 	stores *mailbox[reducer.StoreRecords]
-	calls  map[identifier.AttemptID]flight
+
+	// mutex guards calls, the calls in flight.
+	mutex sync.Mutex
+	calls map[identifier.AttemptID]flight
 }
 
 // New returns a Host that has not started.
@@ -106,9 +107,9 @@
 		clock:        newClock(),
 		context:      ctx,
 		cancel:       cancel,
-		queries:      map[identifier.RequestID]chan reducer.Outcome{},
-		leases:       map[reducer.Ticket]chan Lease{},
-		operators:    map[reducer.Ticket]chan reducer.ReplyOperator{},
+		queries:      newWaiters[identifier.RequestID, reducer.Outcome](),
+		leases:       newWaiters[reducer.Ticket, Lease](),
+		operators:    newWaiters[reducer.Ticket, reducer.ReplyOperator](),
 		stores:       newMailbox[reducer.StoreRecords](),
 		calls:        map[identifier.AttemptID]flight{},
 	}
@@ -169,7 +170,7 @@
 func (h *Host) inFlight() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return len(h.queries) + len(h.calls)
+	return h.queries.count() + len(h.calls)
 }
 
 // View returns what control knew last.
@@ -205,50 +206,20 @@
 // Query runs a query and returns how it ended. It returns the context's error
 // when the caller gives up first.
 func (h *Host) Query(ctx context.Context, arrived reducer.QueryArrived) (reducer.Outcome, error) {
-	outcome := make(chan reducer.Outcome, 1)
-	h.mutex.Lock()
-	h.queries[arrived.Request] = outcome
-	h.mutex.Unlock()
-	h.Deliver(arrived)
-	select {
-	case o := <-outcome:
-		return o, nil
-	case <-ctx.Done():
-		h.takeQuery(arrived.Request)
+	outcome, err := h.queries.ask(ctx, arrived.Request, func() { h.Deliver(arrived) })
+	if err != nil {
 		h.Deliver(reducer.QueryAbandoned{Request: arrived.Request})
-		return nil, ctx.Err()
 	}
+	return outcome, err
 }
 
 // Announce renews a backend server's lease. It returns the context's error when that ends first.
 func (h *Host) Announce(ctx context.Context, announced reducer.ServerAnnounced) (Lease, error) {
-	announced.Ticket = reducer.Ticket(h.tickets.Add(1))
-	answer := make(chan Lease, 1)
-	h.mutex.Lock()
-	h.leases[announced.Ticket] = answer
-	h.mutex.Unlock()
-	h.Deliver(announced)
-	select {
-	case l := <-answer:
-		return l, nil
-	case <-ctx.Done():
-		h.takeLease(announced.Ticket)
-		return Lease{}, ctx.Err()
-	}
-}
-
-func (h *Host) takeQuery(id identifier.RequestID) chan reducer.Outcome {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	c := h.queries[id]
-	delete(h.queries, id)
-	return c
+	announced.Ticket = h.ticket()
+	return h.leases.ask(ctx, announced.Ticket, func() { h.Deliver(announced) })
 }
 
-func (h *Host) takeLease(t reducer.Ticket) chan Lease {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	c := h.leases[t]
-	delete(h.leases, t)
-	return c
+// ticket returns a ticket that no other question of this host has.
+func (h *Host) ticket() reducer.Ticket {
+	return reducer.Ticket(h.tickets.Add(1))
 }
