pkg/reducer: use the field's terms for ownership and crash reports

Cause: read as a newcomer, land, brief, news and tenure needed explaining. Change: endFlight, syncCrashes, updates, ownership; no behaviour changes, golden files unchanged.

--- a/pkg/reducer/account.go
+++ b/pkg/reducer/account.go
@@ -66,7 +66,7 @@
 			submitters: map[identifier.HostID]*submitter{},
 			review:     identifier.Never,
 		}
-		if cautious := max(o.cautious, o.tenures[id].cautious); s.now < cautious {
+		if cautious := max(o.cautious, o.ownerships[id].cautious); s.now < cautious {
 			a.limiter.Restrict(cautious)
 		}
 		o.accounts[id] = a
@@ -196,13 +196,13 @@
 
 // sendNotices sends each host its estimates in one event.
 func (s *State) sendNotices(notices []notice) {
-	news := map[identifier.HostID][]ServerEstimate{}
+	updates := map[identifier.HostID][]ServerEstimate{}
 	for _, n := range notices {
 		a := s.traffic.owner.accounts[n.server]
 		a.submitters[n.host].told = s.now
-		news[n.host] = append(news[n.host], ServerEstimate{Server: n.server, Estimate: s.estimate(n.server, a)})
+		updates[n.host] = append(updates[n.host], ServerEstimate{Server: n.server, Estimate: s.estimate(n.server, a)})
 	}
-	for _, host := range sortedKeys(news) {
-		s.emit(Send{To: host, Event: QueuesEstimated{Servers: news[host]}})
+	for _, host := range sortedKeys(updates) {
+		s.emit(Send{To: host, Event: QueuesEstimated{Servers: updates[host]}})
 	}
 }
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -38,8 +38,8 @@
 	self     router.Host
 	// arbiter hands out the permits to probe suspect requests.
 	arbiter *quarantiner.Arbiter
-	// unbriefed are the hosts whose connection ended: they may have started anew.
-	unbriefed map[identifier.HostID]bool
+	// unsynced are the hosts whose connection ended: they may have started anew.
+	unsynced map[identifier.HostID]bool
 	// published is the latest view; beat is when the last heartbeat was sent.
 	published *View
 	beat      identifier.Instant
@@ -73,7 +73,7 @@
 func newControl() control {
 	return control{
 		arbiter:   quarantiner.NewArbiter(),
-		unbriefed: map[identifier.HostID]bool{},
+		unsynced:  map[identifier.HostID]bool{},
 		leases:    leaser.New(LeaseTerm),
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
@@ -166,7 +166,7 @@
 func (s *State) hearHost(e HostHeard) {
 	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
-	s.brief(e.Host, known)
+	s.syncCrashes(e.Host, known)
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
 		expires: s.now.Add(HostTimeout),
--- a/pkg/reducer/ownership.go
+++ b/pkg/reducer/ownership.go
@@ -21,8 +21,8 @@
 // lapsed, or that this host may not act as the owner of.
 const LeaseInvariant Invariant = "calls-under-lease"
 
-// tenure is what a host knows about its ownership of one server.
-type tenure struct {
+// ownership is what a host knows about its ownership of one server.
+type ownership struct {
 	// lease is when the server's lease lapses.
 	lease identifier.Instant
 	// cautious is until when calls of a previous owner may still run.
@@ -92,18 +92,18 @@
 }
 
 func (s *State) renewServer(e LeaseRenewed) {
-	t := s.traffic.owner.tenures[e.Server]
+	t := s.traffic.owner.ownerships[e.Server]
 	t.lease = max(t.lease, e.Until)
-	s.traffic.owner.tenures[e.Server] = t
+	s.traffic.owner.ownerships[e.Server] = t
 }
 
-// adoptTenures notes which servers this host takes over from another owner by
+// adoptOwnership notes which servers this host takes over from another owner by
 // a view, and forgets those that it no longer owns.
-func (s *State) adoptTenures(previous, next *View) {
+func (s *State) adoptOwnership(previous, next *View) {
 	o := &s.traffic.owner
-	for id := range o.tenures {
+	for id := range o.ownerships {
 		if server, ok := next.Servers[id]; !ok || server.Owner != s.parameters.Host {
-			delete(o.tenures, id)
+			delete(o.ownerships, id)
 		}
 	}
 	for id, server := range next.Servers {
@@ -115,8 +115,8 @@
 		if slices.Contains(next.Leaving, before.Owner) {
 			grace = HandoverGrace
 		}
-		t := tenure{lease: server.Expires, cautious: s.now.Add(grace)}
-		o.tenures[id] = t
+		t := ownership{lease: server.Expires, cautious: s.now.Add(grace)}
+		o.ownerships[id] = t
 		if a, ok := o.accounts[id]; ok {
 			a.limiter.Restrict(t.cautious)
 		}
@@ -125,7 +125,7 @@
 
 // leaseOf returns when the server's lease lapses by all that is known.
 func (s *State) leaseOf(server *Server) identifier.Instant {
-	return max(server.Expires, s.traffic.owner.tenures[server.Server].lease)
+	return max(server.Expires, s.traffic.owner.ownerships[server.Server].lease)
 }
 
 // owns returns a server that this host may give new work now.
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -150,13 +150,13 @@
 	s.releaseHeld(f)
 }
 
-// brief tells a host that may have just started which requests are suspects, and
+// syncCrashes tells a host that may have just started which requests are suspects, and
 // of their crashes, before callers send them there again.
-func (s *State) brief(host identifier.HostID, known bool) {
-	if known && !s.control.unbriefed[host] {
+func (s *State) syncCrashes(host identifier.HostID, known bool) {
+	if known && !s.control.unsynced[host] {
 		return
 	}
-	delete(s.control.unbriefed, host)
+	delete(s.control.unsynced, host)
 	s.suspects.Services(s.now, func(f identifier.Fingerprint, id identifier.ServiceID) {
 		s.emit(Send{To: host, Event: FingerprintSuspected{Fingerprint: f, Service: id}})
 	})
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -95,7 +95,7 @@
 	case PeerDisconnected:
 		s.loseAttempts(func(owner identifier.HostID) bool { return owner == e.Host })
 		s.askAgain(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
-		s.control.unbriefed[e.Host] = true
+		s.control.unsynced[e.Host] = true
 		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
 	case FingerprintSuspected:
 		s.hearSuspect(e)
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -28,8 +28,8 @@
 // owner is the part of a traffic state that gives out the slots of the servers
 // that this host owns.
 type owner struct {
-	accounts map[identifier.ServerID]*account
-	tenures  map[identifier.ServerID]tenure
+	accounts   map[identifier.ServerID]*account
+	ownerships map[identifier.ServerID]ownership
 	// until is when the other hosts may take this host's servers over.
 	until identifier.Instant
 	// cautious is until when calls of previous owners may still run on any server.
@@ -42,8 +42,8 @@
 
 func newOwner() owner {
 	return owner{
-		accounts: map[identifier.ServerID]*account{},
-		tenures:  map[identifier.ServerID]tenure{},
+		accounts:   map[identifier.ServerID]*account{},
+		ownerships: map[identifier.ServerID]ownership{},
 	}
 }
 
@@ -206,7 +206,7 @@
 }
 
 func (s *State) endServed(e CallServed) {
-	if a, f := s.land(e.Server, e.Attempt); f != nil {
+	if a, f := s.endFlight(e.Server, e.Attempt); f != nil {
 		a.spend(s.now, f, !f.cancelled)
 		s.answer(f, AttemptServed{
 			Attempt: e.Attempt, Server: e.Server, Snapshot: e.Snapshot, Range: e.Range, Body: e.Body,
@@ -219,7 +219,7 @@
 // endRefused frees the slot of a call that did not run. A server that sheds has
 // fewer slots free than this host assumed.
 func (s *State) endRefused(e CallRefused) {
-	a, f := s.land(e.Server, e.Attempt)
+	a, f := s.endFlight(e.Server, e.Attempt)
 	if f == nil {
 		return
 	}
@@ -233,15 +233,15 @@
 }
 
 func (s *State) endLost(e CallLost) {
-	if a, f := s.land(e.Server, e.Attempt); f != nil {
+	if a, f := s.endFlight(e.Server, e.Attempt); f != nil {
 		a.spend(s.now, f, false)
 		s.answer(f, AttemptLost{Attempt: e.Attempt, Server: e.Server})
 		s.dispatch(e.Server)
 	}
 }
 
-// land frees the slot of a call; it returns no flight when the call holds none.
-func (s *State) land(id identifier.ServerID, attempt identifier.AttemptID) (*account, *flight) {
+// endFlight frees the slot of a call; it returns no flight when the call holds none.
+func (s *State) endFlight(id identifier.ServerID, attempt identifier.AttemptID) (*account, *flight) {
 	a, ok := s.traffic.owner.accounts[id]
 	if !ok {
 		return nil, nil
@@ -284,7 +284,7 @@
 // adoptView takes a view into use and refuses queued attempts of servers that
 // this host no longer gives work to.
 func (s *State) adoptView(v *View) {
-	s.adoptTenures(s.traffic.view, v)
+	s.adoptOwnership(s.traffic.view, v)
 	s.keepPrevious(v)
 	s.traffic.view = v
 	s.adoptServers(v)
