cmd/lagooncleat: ask for a whole answer in one place

Cause: two process tests built, sent and checked the same query line by line, and the operators' commands split their host list beside the function that does so. Change: askWhole serves both tests with the same assertions; ask uses addresses, which also trims spaces around the commas. Conclusion: the encoding of announcements in the fake and the listener stays twice on purpose: the stand-in meets the host by its published form only.

--- a/cmd/lagooncleat/fault_test.go
+++ b/cmd/lagooncleat/fault_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"syscall"
 
 	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
 )
 
 var _ = ginkgo.Describe("an entry host's failure", func() {
@@ -36,10 +34,7 @@
 							once.Do(func() { sessions[0].Signal(c.signal) })
 						}
 						token := fmt.Sprintf(`"caller %d request %d"`, n, i)
-						body := strings.Replace(lookup, "}", `,"body":`+token+"}", 1)
-						r, err := ask(d.hosts[1].Listen.Callers, "desk", body)
-						gomega.Expect(err).NotTo(gomega.HaveOccurred())
-						whole(gomega.Default, r, token)
+						askWhole(d.hosts[1].Listen.Callers, token)
 					}
 				})
 			}
--- a/cmd/lagooncleat/process_test.go
+++ b/cmd/lagooncleat/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -195,6 +196,14 @@
 	}
 }
 
+// askWhole asks a host for an answer to the token and fails unless it is whole.
+func askWhole(address identifier.Address, token string) {
+	body := strings.Replace(lookup, "}", `,"body":`+token+"}", 1)
+	r, err := ask(address, "desk", body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	whole(gomega.Default, r, token)
+}
+
 // awaitFull waits until a host answers in full.
 func awaitFull(address identifier.Address) {
 	gomega.Eventually(func(g gomega.Gomega) {
--- a/cmd/lagooncleat/serve_test.go
+++ b/cmd/lagooncleat/serve_test.go
@@ -69,10 +69,7 @@
 				defer ginkgo.GinkgoRecover()
 				for i := range requests {
 					token := fmt.Sprintf(`"caller %d request %d"`, c, i)
-					body := strings.Replace(lookup, "}", `,"body":`+token+"}", 1)
-					r, err := ask(d.hosts[b.pick()].Listen.Callers, "desk", body)
-					gomega.Expect(err).NotTo(gomega.HaveOccurred())
-					whole(gomega.Default, r, token)
+					askWhole(d.hosts[b.pick()].Listen.Callers, token)
 					if answered.Add(1) == clients*requests/4 {
 						sessions[0].Terminate()
 					}
--- a/internal/commander/operator.go
+++ b/internal/commander/operator.go
@@ -10,7 +10,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -129,10 +128,10 @@
 func (o *operatorFlags) ask(ctx context.Context, method, path string, body []byte) (operatorReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	hosts := strings.Split(o.hosts, ",")
+	hosts := addresses(o.hosts)
 	var last error
 	for i := 0; ; i++ {
-		reply, err := askHost(ctx, method, "http://"+hosts[i%len(hosts)]+path, body)
+		reply, err := askHost(ctx, method, "http://"+string(hosts[i%len(hosts)])+path, body)
 		if err == nil && reply.status < http.StatusInternalServerError {
 			return reply, nil
 		}
