--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/lagooncleat/lagooncleat/internal/executor"
 	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/logger"
 	"github.com/lagooncleat/lagooncleat/internal/runner"
+	"github.com/lagooncleat/lagooncleat/platform"
 )
 
 // serveCommand runs an entry host until SIGTERM or SIGINT.
@@ -31,7 +37,7 @@
   Runs an entry host until SIGTERM or SIGINT, then shuts it down without cutting
   off a request. The settings are checked in full before anything starts.
 
-  Example: lagooncleat serve --settings _fixtures/hangar/h-1.yaml
+  Example: lagooncleat serve --settings examples/hangar/hangar-1.yaml
 `
 }
 
@@ -49,11 +55,15 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	customers, err := loader.LoadCustomers(settings.Customers)
-	if err != nil {
-		return c.streams.fail(err)
+	output := c.streams.Output
+	var customers loader.CustomersFile
+	if settings.Fleet == nil {
+		output = c.streams.Errors
+		if customers, err = loader.LoadCustomers(settings.Customers); err != nil {
+			return c.streams.fail(err)
+		}
 	}
-	loggers, err := logger.New(c.streams.Errors, logger.Parameters{
+	loggers, err := logger.New(output, logger.Parameters{
 		Level: settings.Logs.Level, Subsystems: settings.Logs.Subsystems, JSON: settings.Logs.JSON,
 	})
 	if err != nil {
@@ -65,11 +75,50 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	r, err := runner.New(settings, customers, sockets, loggers)
+	r, err := start(settings, customers, sockets, loggers)
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	<-stop.Done()
+	c.reload(stop, r)
 	r.Shutdown()
 	return subcommands.ExitSuccess
 }
+
+// start starts the host on the sockets, which are closed when it returns an error.
+func start(s loader.Settings, c loader.CustomersFile, sockets runner.Sockets, loggers *logger.Set) (*runner.Runner, error) {
+	if s.Fleet != nil {
+		return runner.NewFleet(s, adapter(), sockets, loggers)
+	}
+	return runner.New(s, c, sockets, loggers)
+}
+
+// reload takes the settings in again after each SIGHUP until the host is to stop.
+func (c *serveCommand) reload(stop context.Context, r *runner.Runner) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-stop.Done():
+			return
+		case <-changed:
+		}
+		settings, err := loader.LoadSettings(c.settings)
+		if err != nil {
+			fmt.Fprintf(c.streams.Errors, "settings not reloaded: %v\n", err)
+			continue
+		}
+		r.Reload(settings)
+	}
+}
+
+// adapter returns the protocol of the platform that fleets run on.
+func adapter() runner.Adapter {
+	return runner.Adapter{
+		Clients:     func(h *executor.Host) http.Handler { return platform.NewFront(h) },
+		Control:     func(h *executor.Host, l hclog.Logger) http.Handler { return platform.NewControl(h, l) },
+		Readiness:   platform.NewReadiness,
+		Codec:       platform.Codec{},
+		Interpreter: platform.ReadDeclaration,
+	}
+}
--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -45,6 +45,9 @@
 	reducer.ReplicaMessaged{},
 	reducer.RenewalsRelayed{},
 	reducer.AnnouncementsWanted{},
+	reducer.RosterWanted{},
+	reducer.RosterSent{},
+	reducer.WithdrawalRelayed{},
 }
 
 var tags = indexTags()
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -24,7 +24,7 @@
 	case reducer.PublishView:
 		h.publish(e.View)
 	case reducer.GrantLease:
-		h.leases.answer(e.Ticket, Lease{Term: e.Term, Owner: e.Owner})
+		h.leases.answer(e.Ticket, Lease{Term: e.Term, Owner: e.Owner, Address: e.Address, Declined: e.Declined})
 	case reducer.Call:
 		h.call(e)
 	case reducer.CancelCall:
@@ -33,6 +33,12 @@
 		h.stores.put(e)
 	case reducer.ReplyOperator:
 		h.operators.answer(e.Ticket, e)
+	case reducer.Exchange:
+		h.dependencies.Exchanger.Exchange(e)
+	case reducer.CancelExchange:
+		h.dependencies.Exchanger.Cancel(e.Attempt, e.Grace)
+	case reducer.ReplyRequest:
+		h.requests.answer(e.Request, e.Outcome)
 	case reducer.Reply:
 		h.queries.answer(e.Request, e.Outcome)
 	default:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -37,6 +37,15 @@
 	Cancel(ctx context.Context, call reducer.Call) error
 }
 
+// Exchanger runs attempts of clients' requests on backend servers.
+type Exchanger interface {
+	// Start sets who is told how attempts end, and the clock of their deadlines.
+	Start(deliver func(reducer.Event), now func() identifier.Instant)
+	Exchange(e reducer.Exchange)
+	// Cancel withdraws an attempt; its answer may still come within the grace.
+	Cancel(id identifier.AttemptID, grace identifier.Micros)
+}
+
 // Counters counts what happens.
 type Counters interface {
 	Count(reducer.Count)
@@ -59,9 +68,11 @@
 
 // Dependencies are what a Host carries out effects with.
 type Dependencies struct {
-	Caller   Caller
-	Counters Counters
-	Loggers  Loggers
+	Caller Caller
+	// Exchanger is nil on hosts without EntryDuty.
+	Exchanger Exchanger
+	Counters  Counters
+	Loggers   Loggers
 	// Storage and Recovered give the host the control role; both are nil without it.
 	Storage   Storage
 	Recovered *reducer.LogRecovered
@@ -71,6 +82,10 @@
 type Lease struct {
 	Term  identifier.Micros
 	Owner identifier.HostID
+	// Address is where to announce next, if the host knows a better place than itself.
+	Address identifier.Address
+	// Declined is set when the host can't promise that the announcement takes effect.
+	Declined bool
 }
 
 // Host runs the states of one entry host.
@@ -90,6 +105,8 @@
 	queries   *waiters[identifier.RequestID, reducer.Outcome]
 	leases    *waiters[reducer.Ticket, Lease]
 	operators *waiters[reducer.Ticket, reducer.ReplyOperator]
+	requests  *waiters[identifier.RequestID, reducer.RequestOutcome]
+	stopping  atomic.Bool
 	// stores holds what the storage goroutine is to store.
 	stores *mailbox[reducer.StoreRecords]
 
@@ -110,6 +127,7 @@
 		queries:      newWaiters[identifier.RequestID, reducer.Outcome](),
 		leases:       newWaiters[reducer.Ticket, Lease](),
 		operators:    newWaiters[reducer.Ticket, reducer.ReplyOperator](),
+		requests:     newWaiters[identifier.RequestID, reducer.RequestOutcome](),
 		stores:       newMailbox[reducer.StoreRecords](),
 		calls:        map[identifier.AttemptID]flight{},
 	}
@@ -124,6 +142,9 @@
 // Start begins to reduce events and to send to other hosts through the sender.
 func (h *Host) Start(sender Sender) {
 	h.sender = sender
+	if h.dependencies.Exchanger != nil {
+		h.dependencies.Exchanger.Start(h.Deliver, h.clock.now)
+	}
 	for i, l := range append([]*loop{h.control}, h.traffic...) {
 		l.mailbox.put(reducer.Started{Seed: h.parameters.Seed + uint64(i)})
 		h.group.Go(l.run)
@@ -170,7 +191,7 @@
 func (h *Host) inFlight() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.queries.count() + len(h.calls)
+	return h.queries.count() + h.requests.count() + len(h.calls)
 }
 
 // View returns what control knew last.
@@ -192,6 +213,8 @@
 		}
 	case reducer.QueryEvent:
 		h.trafficLoop(string(e.Key())).mailbox.put(event)
+	case reducer.RequestEvent:
+		h.trafficLoop(string(e.Key())).mailbox.put(event)
 	case reducer.SlotEvent:
 		h.trafficLoop(string(e.Key())).mailbox.put(event)
 	default:
--- /dev/null
+++ b/internal/loader/fleet.go
@@ -0,0 +1,52 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// checkFleet checks the settings of a host of a fleet.
+func (d *document) checkFleet(s Settings) {
+	f := s.Fleet
+	switch f.Duty {
+	case FleetEntry:
+		d.checkAddress("listen.callers", s.Listen.Callers)
+		d.checkAddress("listen.readiness", s.Listen.Readiness)
+		if f.ExtraAttempts.Share < 0 || f.ExtraAttempts.Slack < 0 || f.DetourMillis < 0 {
+			d.fault("fleet", "bounds must not be negative")
+		}
+	case FleetControl:
+		d.checkAddress("listen.backend-servers", s.Listen.BackendServers)
+		d.require("control.data-folder", s.Control.DataFolder)
+		if f.AnnouncementIntervalMillis <= 0 {
+			d.fault("fleet.announcement-interval-ms", "must be above 0")
+		}
+	default:
+		d.fault("fleet.duty", "must be entry or control")
+	}
+	if f.PeerPort == 0 {
+		d.fault("fleet.peer-port", "must be above 0")
+	}
+	if len(f.Seeds) == 0 {
+		d.fault("fleet.seeds", "must name a control host")
+	}
+	for i, a := range f.Seeds {
+		d.checkAddress(fmt.Sprintf("fleet.seeds[%d]", i), a)
+	}
+}
+
+// SeedHosts returns the hosts that the seeds name, in order and each once. The
+// addresses must have been checked.
+func (f *Fleet) SeedHosts() []identifier.HostID {
+	var hosts []identifier.HostID
+	for _, a := range f.Seeds {
+		if at, err := netip.ParseAddrPort(string(a)); err == nil {
+			hosts = append(hosts, identifier.HostID(netip.AddrPortFrom(at.Addr(), f.PeerPort).String()))
+		}
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -67,13 +67,17 @@
 	}
 	d.require("host", string(s.Host))
 	d.require("failure-domain", string(s.Domain))
-	d.require("customers", s.Customers)
-	d.checkAddress("listen.callers", s.Listen.Callers)
-	d.checkAddress("listen.backend-servers", s.Listen.BackendServers)
 	d.checkAddress("listen.operators", s.Listen.Operators)
 	d.checkAddress("listen.peers", s.Listen.Peers)
-	d.checkPeers(s)
-	d.checkControl(s)
+	if s.Fleet != nil {
+		d.checkFleet(s)
+	} else {
+		d.require("customers", s.Customers)
+		d.checkAddress("listen.callers", s.Listen.Callers)
+		d.checkAddress("listen.backend-servers", s.Listen.BackendServers)
+		d.checkPeers(s)
+		d.checkControl(s)
+	}
 	if s.TrafficStates < 0 {
 		d.fault("traffic-states", "must not be negative")
 	}
@@ -89,7 +93,7 @@
 	if s.Control.DataFolder != "" && !filepath.IsAbs(s.Control.DataFolder) {
 		s.Control.DataFolder = filepath.Join(filepath.Dir(file), s.Control.DataFolder)
 	}
-	if !filepath.IsAbs(s.Customers) {
+	if s.Fleet == nil && !filepath.IsAbs(s.Customers) {
 		s.Customers = filepath.Join(filepath.Dir(file), s.Customers)
 	}
 	return s, d.err()
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -24,6 +24,9 @@
 	Host identifier.HostID `yaml:"host"`
 	// Domain is the failure domain that the host stands in.
 	Domain identifier.DomainID `yaml:"failure-domain"`
+	// Fleet makes the host part of a fleet, whose hosts find each other by seeds and whose
+	// routes operators declare; it is nil in a deployment whose settings list all hosts.
+	Fleet *Fleet `yaml:"fleet"`
 	// Listen holds the addresses that the host listens on.
 	Listen Listen `yaml:"listen"`
 	// Peers are the other entry hosts.
@@ -50,6 +53,44 @@
 	Operators identifier.Address `yaml:"operators"`
 	// Peers is the address for other entry hosts.
 	Peers identifier.Address `yaml:"peers"`
+	// Readiness is the address for the balancer of an entry host in a fleet.
+	Readiness identifier.Address `yaml:"readiness"`
+}
+
+// FleetDuty names what a host of a fleet does.
+type FleetDuty string
+
+// The duties in a fleet.
+const (
+	// FleetEntry serves clients.
+	FleetEntry FleetDuty = "entry"
+	// FleetControl keeps the replicated log and the list of backend servers.
+	FleetControl FleetDuty = "control"
+)
+
+// Fleet is what a host of a fleet needs to know.
+type Fleet struct {
+	// Duty is what the host does.
+	Duty FleetDuty `yaml:"duty"`
+	// Seeds are addresses at which some control hosts take announcements.
+	Seeds []identifier.Address `yaml:"seeds"`
+	// PeerPort is the port for peers, the same on all hosts. Hosts are named by
+	// their IP number and this port.
+	PeerPort uint16 `yaml:"peer-port"`
+	// Founder is set at the first start of the whole fleet, when no disk holds anything.
+	Founder bool `yaml:"founder"`
+	// AnnouncementIntervalMillis separates the announcements of a backend server, in milliseconds.
+	AnnouncementIntervalMillis int64 `yaml:"announcement-interval-ms"`
+	// ExtraAttempts bounds the attempts of all entry hosts beyond the first for each part.
+	ExtraAttempts struct {
+		// Share is the part of the first attempts that may be repeated.
+		Share identifier.Ratio `yaml:"share"`
+		// Slack is how many more are allowed in a span of time.
+		Slack int `yaml:"slack"`
+	} `yaml:"extra-attempts"`
+	// DetourMillis is how much longer a backend server of the own failure domain may take
+	// before one of another domain is preferred, in milliseconds.
+	DetourMillis float64 `yaml:"detour-ms"`
 }
 
 // Control names the hosts that keep the replicated log.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -23,11 +23,13 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/lagooncleat/lagooncleat/internal/dialer"
 	"github.com/lagooncleat/lagooncleat/internal/encoder"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
@@ -36,16 +38,18 @@
 const (
 	// maxFrame bounds the bytes of one event.
 	maxFrame = 16 << 20
-	// queueLength bounds the frames that wait for one peer; more are dropped.
-	queueLength = 65536
+	// queueLength bounds the frames that wait for one peer; more come back as undeliverable.
+	queueLength = 4096
 	// dialTimeout bounds the time to connect to a peer.
 	dialTimeout = time.Second
 	// redialDelay separates the attempts to connect to a peer.
 	redialDelay = 100 * time.Millisecond
 	// writeTimeout bounds the time to write a batch of frames.
 	writeTimeout = 2 * time.Second
-	bufferSize   = 64 << 10
-	headerSize   = 4
+	// forgetAfter is how long a peer that is in no settings is kept while it can't be reached.
+	forgetAfter = 30 * time.Second
+	bufferSize  = 8 << 10
+	headerSize  = 4
 )
 
 // Parameters are this host's id and the addresses of its peers.
@@ -56,14 +60,16 @@
 
 // Messenger sends events to peers and delivers those that arrive.
 type Messenger struct {
-	deliver     func(reducer.Event)
-	logger      hclog.Logger
-	host        identifier.HostID
-	queues      map[identifier.HostID]chan reducer.Event
-	context     context.Context
-	cancel      context.CancelFunc
-	group       sync.WaitGroup
+	deliver func(reducer.Event)
+	logger  hclog.Logger
+	host    identifier.HostID
+	peers   map[identifier.HostID]identifier.Address
+	context context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	// mutex guards queues and connections.
 	mutex       sync.Mutex
+	queues      map[identifier.HostID]chan reducer.Event
 	connections map[net.Conn]struct{}
 }
 
@@ -75,23 +81,54 @@
 		deliver:     deliver,
 		logger:      logger,
 		host:        p.Host,
+		peers:       p.Peers,
 		queues:      map[identifier.HostID]chan reducer.Event{},
 		context:     ctx,
 		cancel:      cancel,
 		connections: map[net.Conn]struct{}{},
 	}
-	for id, address := range p.Peers {
-		queue := make(chan reducer.Event, queueLength)
-		m.queues[id] = queue
-		m.group.Go(func() { m.write(id, address, queue) })
+	for id := range p.Peers {
+		m.queue(id)
 	}
 	return m
 }
 
+// queue returns the queue of a peer, which is made when the peer is first sent to. A
+// host that is in no settings is named by its address.
+func (m *Messenger) queue(to identifier.HostID) (chan reducer.Event, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if queue, ok := m.queues[to]; ok {
+		return queue, true
+	}
+	address, listed := m.peers[to]
+	if !listed {
+		if _, err := netip.ParseAddrPort(string(to)); err != nil || m.context.Err() != nil {
+			return nil, false
+		}
+		address = identifier.Address(to)
+	}
+	queue := make(chan reducer.Event, queueLength)
+	m.queues[to] = queue
+	m.group.Go(func() { m.write(to, address, queue) })
+	return queue, true
+}
+
+// forgetPeer drops the queue of a peer that is in no settings and can't be reached.
+func (m *Messenger) forgetPeer(id identifier.HostID, unreachableSince time.Time) bool {
+	if _, listed := m.peers[id]; listed || time.Since(unreachableSince) < forgetAfter {
+		return false
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	delete(m.queues, id)
+	return true
+}
+
 // Send queues an event for the peer. The event comes back as undeliverable when
 // the queue is full or the peer unknown.
 func (m *Messenger) Send(to identifier.HostID, event reducer.Event) {
-	queue, ok := m.queues[to]
+	queue, ok := m.queue(to)
 	if !ok {
 		m.logger.Warn("event for an unknown peer", "peer", to)
 		m.bounce(event)
@@ -160,11 +197,15 @@
 
 // write connects to a peer, again after each failure, and sends what is queued.
 func (m *Messenger) write(id identifier.HostID, address identifier.Address, queue chan reducer.Event) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	reached := time.Now()
 	for m.context.Err() == nil {
-		c, err := dialer.DialContext(m.context, "tcp", string(address))
+		c, err := m.dial(address)
 		if err != nil {
 			m.discard(queue)
+			if m.forgetPeer(id, reached) {
+				m.discard(queue)
+				return
+			}
 			continue
 		}
 		if !m.track(c) {
@@ -175,10 +216,17 @@
 			m.logger.Debug("connection to peer ended", "peer", id, "error", err)
 		}
 		m.forget(c)
+		reached = time.Now()
 		m.deliver(reducer.PeerDisconnected{Host: id})
 	}
 }
 
+func (m *Messenger) dial(address identifier.Address) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(m.context, dialTimeout)
+	defer cancel()
+	return dialer.Dial(ctx, address)
+}
+
 // discard returns what is queued for an unreachable peer until it is time to dial again.
 func (m *Messenger) discard(queue chan reducer.Event) {
 	pause := time.NewTimer(redialDelay)
--- /dev/null
+++ b/internal/runner/fleet.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/lagooncleat/lagooncleat/internal/exchanger"
+	"github.com/lagooncleat/lagooncleat/internal/executor"
+	"github.com/lagooncleat/lagooncleat/internal/listener"
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/internal/logger"
+	"github.com/lagooncleat/lagooncleat/internal/messenger"
+	"github.com/lagooncleat/lagooncleat/internal/meter"
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+const (
+	exchangerSubsystem reducer.Subsystem = "exchanger"
+	adapterSubsystem   reducer.Subsystem = "adapter"
+)
+
+// Adapter is the protocol that clients, backend servers and operators of a fleet speak.
+type Adapter struct {
+	// Clients, Control and Readiness return the handlers of a host's interfaces.
+	Clients   func(h *executor.Host) http.Handler
+	Control   func(h *executor.Host, logger hclog.Logger) http.Handler
+	Readiness func(ready func() bool) http.Handler
+	// Codec is how attempts are sent to backend servers.
+	Codec exchanger.Codec
+	// Interpreter reads declarations.
+	Interpreter declarer.Interpreter
+}
+
+// NewFleet starts a host of a fleet on the open sockets, which it closes when it
+// stops. When the data folder of a control host can't be used, it closes them and returns the error.
+func NewFleet(s loader.Settings, a Adapter, sockets Sockets, loggers *logger.Set) (*Runner, error) {
+	r := newRunner(s, sockets, loggers)
+	counters := meter.New()
+	dependencies := executor.Dependencies{Counters: counters, Loggers: loggers}
+	if err := r.openJournal(&dependencies); err != nil {
+		sockets.Close()
+		return nil, err
+	}
+	if s.Fleet.Duty == loader.FleetEntry {
+		r.exchanger = exchanger.New(a.Codec, loggers.Logger(exchangerSubsystem))
+		dependencies.Exchanger = r.exchanger
+	}
+	r.host = executor.New(executor.Parameters{
+		Reducer: reducer.Parameters{
+			Host: s.Host, Domain: s.Domain, Duty: dutyOf(s), Interpreter: a.Interpreter,
+		},
+		// One core is all that a host of a fleet has; a second state would only
+		// measure every backend server twice.
+		TrafficStates: 1,
+		Seed:          uint64(time.Now().UnixNano()),
+	}, dependencies)
+	r.messenger = messenger.New(messenger.Parameters{Host: s.Host}, r.host.Deliver, loggers.Logger(messengerSubsystem))
+	r.host.Start(r.messenger)
+	r.serve(listener.NewOperators(s.Host, r.host, r.host, counters, r.Ready), Operators)
+	switch s.Fleet.Duty {
+	case loader.FleetEntry:
+		r.serve(a.Clients(r.host), Callers)
+		r.serve(a.Readiness(r.Ready), Readiness)
+	case loader.FleetControl:
+		r.serve(a.Control(r.host, loggers.Logger(adapterSubsystem)), BackendServers)
+	}
+	r.servePeers()
+	r.logger.Info("host started", "host", s.Host, "failure-domain", s.Domain, "duty", s.Fleet.Duty)
+	return r, nil
+}
+
+// Reload takes in the seeds of changed settings; nothing else changes while a host runs.
+func (r *Runner) Reload(s loader.Settings) {
+	if s.Fleet == nil || r.settings.Fleet == nil {
+		return
+	}
+	r.logger.Info("settings reloaded", "seeds", s.Fleet.Seeds)
+	r.host.Deliver(reducer.SeedsChanged{Seeds: s.Fleet.SeedHosts()})
+}
+
+func dutyOf(s loader.Settings) reducer.Duty {
+	seeds := s.Fleet.SeedHosts()
+	if s.Fleet.Duty == loader.FleetEntry {
+		return reducer.EntryDuty{
+			Seeds: seeds,
+			ExtraAttempts: reducer.ExtraAttempts{
+				Share: s.Fleet.ExtraAttempts.Share, Slack: s.Fleet.ExtraAttempts.Slack,
+			},
+			Detour: identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
+		}
+	}
+	return reducer.ControlDuty{
+		Seeds: seeds, Founder: s.Fleet.Founder, Announcements: s.Listen.BackendServers,
+		AnnouncementInterval: identifier.Micros(s.Fleet.AnnouncementIntervalMillis) * identifier.Millisecond,
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -27,6 +27,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagooncleat/lagooncleat/internal/caller"
+	"github.com/lagooncleat/lagooncleat/internal/dialer"
+	"github.com/lagooncleat/lagooncleat/internal/exchanger"
 	"github.com/lagooncleat/lagooncleat/internal/executor"
 	"github.com/lagooncleat/lagooncleat/internal/journaler"
 	"github.com/lagooncleat/lagooncleat/internal/listener"
@@ -53,7 +55,8 @@
 	host      *executor.Host
 	messenger *messenger.Messenger
 	caller    *caller.Caller
-	servers   []*http.Server
+	exchanger *exchanger.Exchanger
+	servers   map[ListenerIndex]*http.Server
 	sockets   Sockets
 	journal   *journaler.Journaler
 	group     sync.WaitGroup
@@ -69,19 +72,23 @@
 	BackendServers
 	Operators
 	Peers
+	Readiness
 	listenerCount
 )
 
 // Sockets are the open listeners of an entry host, by ListenerIndex.
 type Sockets [listenerCount]net.Listener
 
-// Open opens all listeners, or none when it returns an error.
+// Open opens the listeners that have an address, or none when it returns an error.
 func Open(l loader.Listen) (Sockets, error) {
 	var sockets Sockets
-	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers} {
-		socket, err := net.Listen("tcp", string(address))
+	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers, l.Readiness} {
+		if address == "" {
+			continue
+		}
+		socket, err := dialer.Listen(address)
 		if err != nil {
-			sockets.close()
+			sockets.Close()
 			return Sockets{}, fmt.Errorf("listen: %w", err)
 		}
 		sockets[i] = socket
@@ -89,8 +96,8 @@
 	return sockets, nil
 }
 
-// close closes the listeners that are open.
-func (s Sockets) close() {
+// Close closes the listeners that are open.
+func (s Sockets) Close() {
 	for _, open := range s {
 		if open != nil {
 			open.Close()
@@ -106,11 +113,12 @@
 // New starts an entry host on the open sockets, which it closes when it stops.
 // When the data folder of a control host can't be used, it closes them and returns the error.
 func New(s loader.Settings, c loader.CustomersFile, sockets Sockets, loggers *logger.Set) (*Runner, error) {
-	r := &Runner{settings: s, sockets: sockets, logger: loggers.Logger(runnerSubsystem), caller: caller.New()}
+	r := newRunner(s, sockets, loggers)
+	r.caller = caller.New()
 	counters := meter.New()
 	dependencies := executor.Dependencies{Caller: r.caller, Counters: counters, Loggers: loggers}
 	if err := r.openJournal(&dependencies); err != nil {
-		sockets.close()
+		sockets.Close()
 		return nil, err
 	}
 	r.host = executor.New(executor.Parameters{
@@ -133,16 +141,27 @@
 		}
 		return 0
 	})
-	r.serve(listener.NewCallers(r.host, counters), r.sockets[Callers])
-	r.serve(listener.NewBackends(r.host), r.sockets[BackendServers])
-	r.serve(listener.NewOperators(s.Host, r.host, r.host, counters, r.Ready), r.sockets[Operators])
+	r.serve(listener.NewCallers(r.host, counters), Callers)
+	r.serve(listener.NewBackends(r.host), BackendServers)
+	r.serve(listener.NewOperators(s.Host, r.host, r.host, counters, r.Ready), Operators)
+	r.servePeers()
+	r.logger.Info("entry host started", "host", s.Host, "failure-domain", s.Domain)
+	return r, nil
+}
+
+func newRunner(s loader.Settings, sockets Sockets, loggers *logger.Set) *Runner {
+	return &Runner{
+		settings: s, sockets: sockets, logger: loggers.Logger(runnerSubsystem),
+		servers: map[ListenerIndex]*http.Server{},
+	}
+}
+
+func (r *Runner) servePeers() {
 	r.group.Go(func() {
 		if err := r.messenger.Serve(r.sockets[Peers]); err != nil {
 			r.logger.Error("peer listener failed", "error", err)
 		}
 	})
-	r.logger.Info("entry host started", "host", s.Host, "failure-domain", s.Domain)
-	return r, nil
 }
 
 // Deliver gives an event to the host, as its listeners do.
@@ -166,11 +185,11 @@
 	return addresses
 }
 
-func (r *Runner) serve(h http.Handler, socket net.Listener) {
+func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	r.servers = append(r.servers, server)
+	r.servers[l] = server
 	r.group.Go(func() {
-		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(r.sockets[l]); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
@@ -192,13 +211,16 @@
 // the host owns pass to others. It returns when everything has ended.
 func (r *Runner) Shutdown() {
 	r.stopping.Store(true)
+	r.host.BeginStop()
 	r.logger.Info("shutdown began", "host", r.settings.Host)
 	time.Sleep(time.Duration(r.settings.Shutdown.BalancerDelayMillis) * time.Millisecond)
 	timeout := time.Duration(r.settings.Shutdown.TimeoutMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := r.servers[Callers].Shutdown(ctx); err != nil {
-		r.logger.Warn("queries were still in flight at the shutdown timeout", "error", err)
+	if callers, ok := r.servers[Callers]; ok {
+		if err := callers.Shutdown(ctx); err != nil {
+			r.logger.Warn("queries were still in flight at the shutdown timeout", "error", err)
+		}
 	}
 	r.host.Leave(ctx)
 	r.Kill()
@@ -215,6 +237,11 @@
 	r.messenger.Close()
 	r.host.Stop()
 	r.closeJournal()
-	r.caller.Close()
+	if r.caller != nil {
+		r.caller.Close()
+	}
+	if r.exchanger != nil {
+		r.exchanger.Close()
+	}
 	r.group.Wait()
 }
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -48,6 +48,10 @@
 	Starting bool
 	// Rank is the rank of the attempt.
 	Rank identifier.Rank
+	// Slots is how many attempts the server runs at once; 0 stands for 1.
+	Slots identifier.Slots
+	// Detour is added to the cost of a server outside the own failure domain, in microseconds.
+	Detour identifier.Micros
 }
 
 // Chooser holds the measurements of one state. It is not safe for concurrent use.
@@ -193,7 +197,8 @@
 func (c *Chooser) cost(now identifier.Instant, candidate *Candidate, base survey) float64 {
 	r := c.records[candidate.Server]
 	slowness := r.slowness(now, base.estimate)
-	cost := base.estimate * max(1, slowness/tolerance) * float64(r.ahead(candidate.Rank)+1)
+	cost := base.estimate * max(1, slowness/tolerance) * (1 + float64(r.ahead(candidate.Rank))/float64(max(1, candidate.Slots)))
+	cost += float64(candidate.Detour)
 	if floor := r.least(); floor > 0 {
 		cost += float64(floor - base.floor)
 	}
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -53,6 +53,10 @@
 	share  identifier.Ratio
 	high   identifier.Micros
 	median identifier.Micros
+	// usual is the quantile of usualShare, and stale how many latencies came since.
+	usual      identifier.Micros
+	usualShare identifier.Ratio
+	stale      int
 	// recent is the median of the latest summary, for the signs of overload.
 	recent identifier.Micros
 }
@@ -82,6 +86,7 @@
 	r := &h.ranks[rank]
 	r.digest.add(latency)
 	r.fresh++
+	r.stale++
 	h.refusals -= h.refusals * refusalWeight
 	h.observed++
 	if h.observed%summaryInterval == 0 {
@@ -132,6 +137,21 @@
 	return max(MinDelay, min(r.high, medianFactor*r.median)), true
 }
 
+// Quantile returns the latency below which the share of the rank's latest attempts lies, in
+// microseconds, at most six medians; it is 0 while too few latencies are known.
+func (h *Hedger) Quantile(rank identifier.Rank, share identifier.Ratio) identifier.Micros {
+	r := &h.ranks[rank]
+	if r.digest.total < minSamples {
+		return 0
+	}
+	if r.usual == 0 || r.stale >= summaryInterval || r.usualShare != share {
+		r.stale = 0
+		r.usualShare = share
+		r.usual = min(r.digest.quantile(share), medianFactor*r.digest.quantile(0.5))
+	}
+	return r.usual
+}
+
 // Spend takes a hedge of the rank from the budget; it reports false when the budget is spent
 // or the service is overloaded.
 func (h *Hedger) Spend(rank identifier.Rank) bool {
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -55,8 +55,8 @@
 	Load int `msgpack:"o"`
 }
 
-// newerThan reports whether the announcement replaces the other one.
-func (a Announcement) newerThan(other Announcement) bool {
+// NewerThan reports whether the announcement replaces the other one.
+func (a Announcement) NewerThan(other Announcement) bool {
 	if a.Incarnation != other.Incarnation {
 		return a.Incarnation > other.Incarnation
 	}
@@ -111,7 +111,7 @@
 		heap.Push(&l.due, expiry{lease.Expires, lease})
 		return true
 	}
-	if !a.newerThan(known.Announcement) {
+	if !a.NewerThan(known.Announcement) {
 		return false
 	}
 	changed := !a.SameForRouting(known.Announcement)
@@ -123,6 +123,18 @@
 	return changed
 }
 
+// Drop removes the lease of a server, if it has one.
+func (l *Leaser) Drop(id identifier.ServerID) {
+	lease, ok := l.leases[id]
+	if !ok {
+		return
+	}
+	delete(l.leases, id)
+	if i := slices.IndexFunc(l.due, func(e expiry) bool { return e.lease == lease }); i >= 0 {
+		heap.Remove(&l.due, i)
+	}
+}
+
 // Expire removes the leases that have lapsed and returns their servers in order of id.
 func (l *Leaser) Expire(at identifier.Instant) []identifier.ServerID {
 	var lapsed []identifier.ServerID
--- a/pkg/leaser/renewal.go
+++ b/pkg/leaser/renewal.go
@@ -41,7 +41,7 @@
 	}
 	known := &lease.Announcement
 	renewed := Announcement{Incarnation: r.Incarnation, Sequence: r.Sequence}
-	if !renewed.newerThan(*known) {
+	if !renewed.NewerThan(*known) {
 		return true
 	}
 	if known.Incarnation != r.Incarnation || lease.digest != r.Digest {
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
@@ -55,12 +56,15 @@
 type ControlSnapshot struct {
 	Registry registrar.Snapshot             `msgpack:"r"`
 	Ledger   deduplicator.Snapshot[Outcome] `msgpack:"l"`
+	// Source is the declaration in force; its version is 0 when there is none.
+	Source declarer.Source `msgpack:"d"`
 }
 
 // replicated is the state that every control host keeps by applying commands.
 type replicated struct {
 	registry *registrar.Registry
 	ledger   *deduplicator.Ledger[Outcome]
+	source   declared
 }
 
 func newReplicated() replicated {
@@ -118,6 +122,9 @@
 	case OutcomeRecorded:
 		ledger.Settle(c.Intent, c.Outcome)
 		return Committed{}
+	case ConfigurationDeclared:
+		s.applyDeclaration(c)
+		return Committed{}
 	}
 	panic(fmt.Sprintf("reducer: unknown command %T", c))
 }
@@ -127,6 +134,7 @@
 	return ControlSnapshot{
 		Registry: s.control.replicated.registry.Snapshot(),
 		Ledger:   s.control.replicated.ledger.Snapshot(),
+		Source:   s.control.replicated.source.Source,
 	}
 }
 
@@ -136,6 +144,11 @@
 	s.control.replicated = replicated{
 		registry: registrar.Restore(c.Registry),
 		ledger:   deduplicator.Restore(ledgerLimits, c.Ledger),
+		source:   declared{c.Source},
+	}
+	if _, ok := s.parameters.Duty.(ControlDuty); ok {
+		s.adoptDeclaration()
+		return
 	}
 	s.adoptRegistry()
 }
@@ -143,7 +156,9 @@
 // leadershipWon is called when this host leads the replicated log and has
 // applied all that earlier leaders committed.
 func (s *State) leadershipWon() {
-	s.proposeImport()
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		s.proposeImport()
+	}
 	s.publishControlStatus()
 }
 
@@ -168,5 +183,10 @@
 		s.redirect(p.waiter)
 		return
 	}
-	s.answerOperation(p.waiter, readRegistry(s.control.replicated.registry, p.read))
+	switch read := p.read.(type) {
+	case ObjectsRead:
+		s.answerOperation(p.waiter, readRegistry(s.control.replicated.registry, read))
+	case DeclarationRead:
+		s.answerOperation(p.waiter, s.answerDeclarationRead(read))
+	}
 }
--- a/pkg/reducer/configuration.go
+++ b/pkg/reducer/configuration.go
@@ -76,6 +76,10 @@
 		s.receiveRevisions(e)
 	case ContentsSent:
 		s.receiveContents(e)
+	case DeclarationRequested:
+		s.declare(e)
+	case DeclarationWanted:
+		s.readDeclaration(e)
 	}
 }
 
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -57,6 +57,10 @@
 		Term identifier.Micros
 		// Owner is the host to announce to next.
 		Owner identifier.HostID
+		// Address is where to announce next, if the host knows a better place than itself.
+		Address identifier.Address
+		// Declined is set when the host can't promise that the announcement takes effect.
+		Declined bool
 	}
 )
 
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -170,6 +170,10 @@
 		// Leaving is set by a host that shuts down.
 		Leaving bool  `msgpack:"l"`
 		Stamp   Stamp `msgpack:"t"`
+		// Announcements is where a control host takes announcements of backend servers.
+		Announcements identifier.Address `msgpack:"a"`
+		// Readers counts the entry hosts that follow a control host.
+		Readers int `msgpack:"r"`
 	}
 )
 
--- /dev/null
+++ b/pkg/reducer/fleet.go
@@ -0,0 +1,646 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/matcher"
+	"github.com/lagooncleat/lagooncleat/pkg/router"
+)
+
+const (
+	// announcementsPerLease is how many announcements a backend server may miss, and one more,
+	// before it counts as silent: late and lost ones come in pairs when a host restarts.
+	announcementsPerLease = 4
+	// RosterInterval separates the questions of an entry host to its control host. Two lost
+	// ones still leave time to turn elsewhere within a bound of 3 s on stale routing.
+	RosterInterval = 400 * identifier.Millisecond
+	// RosterSilence is the silence after which an entry host turns to another control
+	// host: two intervals and the time of a slow answer.
+	RosterSilence = 1000 * identifier.Millisecond
+	// ReaderSilence is the silence after which an entry host is no longer told of changes.
+	ReaderSilence = 3 * identifier.Second
+	// RosterLearningSpan is how long a control host that has started hears of backend
+	// servers before it may say that one is gone.
+	RosterLearningSpan = 3 * identifier.Second
+	// RosterMemory is how long a backend server that has left or fallen silent is
+	// remembered, so that late news of it is recognised.
+	RosterMemory = 60 * identifier.Second
+	// ControlMemory is how long a control host that was heard of is still sent to.
+	ControlMemory = 60 * identifier.Second
+)
+
+// Standing is what a control host knows about a backend server.
+type Standing uint8
+
+// The standings of a backend server.
+const (
+	// Present servers announce themselves.
+	Present Standing = iota
+	// Silent servers have not announced themselves of late; they may still run.
+	Silent
+	// Left servers have said that they leave, or their address has another server.
+	Left
+)
+
+// RosterRevision counts the changes of one control host's list of backend servers.
+type RosterRevision uint64
+
+// Listed is a backend server in a control host's list.
+type Listed struct {
+	Announcement leaser.Announcement `msgpack:"a"`
+	Standing     Standing            `msgpack:"s"`
+	Revision     RosterRevision      `msgpack:"r"`
+	// changed is when the standing changed last, by the clock of the host that keeps the list.
+	changed identifier.Instant
+}
+
+// RosterPosition is how much of a control host's list another host holds. Started
+// tells the processes of the control host apart.
+type RosterPosition struct {
+	Started  identifier.Instant `msgpack:"p"`
+	Revision RosterRevision     `msgpack:"r"`
+}
+
+// Events about the list of backend servers and who reads it.
+type (
+	// RosterWanted asks a control host for what has changed in its list.
+	RosterWanted struct {
+		membershipEvent
+		Host    identifier.HostID   `msgpack:"h"`
+		Domain  identifier.DomainID `msgpack:"d"`
+		Held    RosterPosition      `msgpack:"p"`
+		Version identifier.Version  `msgpack:"v"`
+		// Serves is set by an entry host, which counts among those that share servers.
+		Serves bool `msgpack:"s"`
+	}
+	// RosterSent carries the changes of a control host's list.
+	RosterSent struct {
+		membershipEvent
+		From     identifier.HostID `msgpack:"f"`
+		Position RosterPosition    `msgpack:"p"`
+		// Whole is set when the list is complete and replaces what was held.
+		Whole   bool     `msgpack:"w"`
+		Servers []Listed `msgpack:"s"`
+		// Controls are the control hosts that the sender knows.
+		Controls []router.Host `msgpack:"c"`
+		// Readers counts the entry hosts of the deployment.
+		Readers int `msgpack:"n"`
+		// InTouch is set while the sender is in touch with a quorum of the replicated log.
+		InTouch bool `msgpack:"i"`
+		// Learnt is set once the sender has had the time to hear of all servers.
+		Learnt bool `msgpack:"l"`
+		// Source is the declaration in force, if it is newer than the reader's.
+		Source *declarer.Source `msgpack:"d"`
+	}
+	// ServerWithdrawn reports that a backend server has said that it leaves.
+	ServerWithdrawn struct {
+		membershipEvent
+		Ticket Ticket
+		Server identifier.ServerID
+	}
+	// WithdrawalRelayed tells the other control hosts of a ServerWithdrawn.
+	WithdrawalRelayed struct {
+		membershipEvent
+		Server identifier.ServerID `msgpack:"s"`
+	}
+	// SeedsChanged replaces the control hosts that the settings name.
+	SeedsChanged struct {
+		membershipEvent
+		Seeds []identifier.HostID
+	}
+)
+
+// reader is an entry host that a control host tells of changes.
+type reader struct {
+	heard   identifier.Instant
+	held    RosterPosition
+	version identifier.Version
+	domain  identifier.DomainID
+	serves  bool
+}
+
+// roster is the part of control that keeps or reads the list of backend servers.
+type roster struct {
+	servers   map[identifier.ServerID]*Listed
+	addresses map[identifier.Address]identifier.ServerID
+	revision  RosterRevision
+	readers   map[identifier.HostID]*reader
+	// elsewhere counts the readers of the other control hosts.
+	elsewhere map[identifier.HostID]int
+	// announcements is where the other control hosts take announcements.
+	announcements map[identifier.HostID]identifier.Address
+
+	// positions is how much of each control host's list this host holds.
+	positions map[identifier.HostID]RosterPosition
+	// controls are the control hosts known, and when each was heard of last.
+	controls map[identifier.HostID]knownControl
+	// source is the control host that this entry host follows; empty while it looks for one.
+	source identifier.HostID
+	heard  identifier.Instant
+	// sharers counts the entry hosts, this one among them.
+	sharers int
+	held    *declarer.Declaration
+	routes  *matcher.Matcher
+}
+
+type knownControl struct {
+	host  router.Host
+	heard identifier.Instant
+}
+
+func newRoster() roster {
+	return roster{
+		servers:       map[identifier.ServerID]*Listed{},
+		addresses:     map[identifier.Address]identifier.ServerID{},
+		readers:       map[identifier.HostID]*reader{},
+		elsewhere:     map[identifier.HostID]int{},
+		announcements: map[identifier.HostID]identifier.Address{},
+		positions:     map[identifier.HostID]RosterPosition{},
+		controls:      map[identifier.HostID]knownControl{},
+		sharers:       1,
+	}
+}
+
+// note takes a server's announcement and standing into the list. It reports
+// whether anything has changed that readers are told of.
+func (r *roster) note(now identifier.Instant, a leaser.Announcement, standing Standing) bool {
+	known, ok := r.servers[a.Server]
+	if ok && known.Standing == standing && known.Announcement.SameForRouting(a) {
+		known.Announcement = a
+		return false
+	}
+	if ok && known.Announcement.Address != a.Address && r.addresses[known.Announcement.Address] == a.Server {
+		delete(r.addresses, known.Announcement.Address)
+	}
+	r.revision++
+	r.servers[a.Server] = &Listed{Announcement: a, Standing: standing, Revision: r.revision, changed: now}
+	if standing != Left {
+		r.addresses[a.Address] = a.Server
+	}
+	return true
+}
+
+// superseded reports whether an announcement is older than what is known: of a
+// server that has left, or of one whose address has a server that started later.
+func (r *roster) superseded(a leaser.Announcement) bool {
+	if known, ok := r.servers[a.Server]; ok && known.Standing == Left && a.Incarnation <= known.Announcement.Incarnation {
+		return true
+	}
+	holder, ok := r.servers[r.addresses[a.Address]]
+	return ok && holder.Announcement.Server != a.Server && holder.Standing != Left &&
+		holder.Announcement.Incarnation > a.Incarnation
+}
+
+// evict lists the server that had the announcement's address before as gone.
+func (r *roster) evict(now identifier.Instant, a leaser.Announcement) {
+	holder, ok := r.servers[r.addresses[a.Address]]
+	if ok && holder.Announcement.Server != a.Server && holder.Standing != Left {
+		r.note(now, holder.Announcement, Left)
+	}
+}
+
+// since returns the servers that have changed after the revision, in order of revision.
+func (r *roster) since(revision RosterRevision) []Listed {
+	var changed []Listed
+	for _, l := range r.servers {
+		if l.Revision > revision {
+			changed = append(changed, *l)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Listed) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changed
+}
+
+// forget drops the servers that have been gone for long.
+func (r *roster) forget(now identifier.Instant) {
+	for id, l := range r.servers {
+		if l.Standing != Present && now.Since(l.changed) > RosterMemory {
+			delete(r.servers, id)
+			if r.addresses[l.Announcement.Address] == id {
+				delete(r.addresses, l.Announcement.Address)
+			}
+		}
+	}
+}
+
+// knowControl notes that a control host was heard of.
+func (r *roster) knowControl(now identifier.Instant, h router.Host) {
+	if h.Domain == "" {
+		h.Domain = r.controls[h.ID].host.Domain
+	}
+	r.controls[h.ID] = knownControl{host: h, heard: now}
+}
+
+// peers returns the other hosts that this host exchanges heartbeats with.
+func (s *State) peers() []router.Host {
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		return s.parameters.Peers
+	}
+	return s.otherControls()
+}
+
+// otherControls returns the control hosts known but this one, in order of id.
+func (s *State) otherControls() []router.Host {
+	var hosts []router.Host
+	for _, id := range sortedKeys(s.control.roster.controls) {
+		if id != s.parameters.Host {
+			hosts = append(hosts, s.control.roster.controls[id].host)
+		}
+	}
+	return hosts
+}
+
+// startRoster notes the seeds and begins to ask for lists.
+func (s *State) startRoster() {
+	s.adoptSeeds(s.seeds())
+	s.readRosters()
+}
+
+func (s *State) adoptSeeds(seeds []identifier.HostID) {
+	for _, id := range seeds {
+		s.control.roster.knowControl(s.now, router.Host{ID: id})
+	}
+}
+
+// changeSeeds replaces the seeds after the settings have changed.
+func (s *State) changeSeeds(e SeedsChanged) {
+	switch d := s.parameters.Duty.(type) {
+	case EntryDuty:
+		d.Seeds = e.Seeds
+		s.parameters.Duty = d
+	case ControlDuty:
+		d.Seeds = e.Seeds
+		s.parameters.Duty = d
+	}
+	s.adoptSeeds(e.Seeds)
+}
+
+// forgetControls drops the control hosts that have not been heard of for long; seeds stay.
+func (s *State) forgetControls() {
+	r := &s.control.roster
+	for id, known := range r.controls {
+		if s.now.Since(known.heard) > ControlMemory && !slices.Contains(s.seeds(), id) {
+			delete(r.controls, id)
+			delete(r.elsewhere, id)
+			delete(r.announcements, id)
+		}
+	}
+}
+
+// readRosters asks the control host that this entry host follows for changes, or
+// all that it knows while it follows none. A control host asks the others until it
+// has learnt the list.
+func (s *State) readRosters() {
+	r := &s.control.roster
+	s.forgetControls()
+	s.schedule(s.now.Add(RosterInterval), rosterDue{})
+	if _, ok := s.parameters.Duty.(ControlDuty); ok {
+		if log := s.control.replication.log; log != nil {
+			log.Contact(s.controlHosts())
+		}
+		if !s.control.learnt {
+			s.askRosters()
+		}
+		s.publishControlStatus()
+		return
+	}
+	if r.source != "" && s.now.Since(r.heard) >= RosterSilence {
+		s.log(MembershipSubsystem, Warn, "control host is silent; looking for another",
+			Field{"host", string(r.source)})
+		r.source = ""
+	}
+	if r.source != "" {
+		s.askRoster(r.source)
+		return
+	}
+	s.askRosters()
+	s.publishControlStatus()
+}
+
+func (s *State) askRosters() {
+	for _, h := range s.otherControls() {
+		s.askRoster(h.ID)
+	}
+}
+
+func (s *State) askRoster(id identifier.HostID) {
+	_, serves := s.parameters.Duty.(EntryDuty)
+	s.emit(Send{To: id, Event: RosterWanted{
+		Host:    s.parameters.Host,
+		Domain:  s.parameters.Domain,
+		Held:    s.control.roster.positions[id],
+		Version: s.control.version,
+		Serves:  serves,
+	}})
+}
+
+// tellReader answers a host that reads the list.
+func (s *State) tellReader(e RosterWanted) {
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		return
+	}
+	known, ok := s.control.roster.readers[e.Host]
+	if !ok {
+		known = &reader{domain: e.Domain, serves: e.Serves}
+		s.control.roster.readers[e.Host] = known
+		s.log(MembershipSubsystem, Info, "host reads the server list", Field{"host", string(e.Host)})
+	}
+	known.heard = s.now
+	known.held = e.Held
+	known.version = e.Version
+	s.sendRoster(e.Host, known)
+}
+
+// sendRoster sends a reader what it lacks.
+func (s *State) sendRoster(id identifier.HostID, to *reader) {
+	r := &s.control.roster
+	sent := RosterSent{
+		From:     s.parameters.Host,
+		Position: RosterPosition{Started: s.control.started, Revision: r.revision},
+		Controls: append(s.otherControls(), s.control.self),
+		Readers:  s.countReaders(),
+		InTouch:  s.inTouch(),
+		Learnt:   s.control.learnt,
+		Source:   s.control.replicated.source.newerThan(to.version),
+	}
+	from := to.held.Revision
+	if to.held.Started != s.control.started {
+		sent.Whole = true
+		from = 0
+	}
+	sent.Servers = r.since(from)
+	to.held = sent.Position
+	if sent.Source != nil {
+		to.version = sent.Source.Version
+	}
+	s.emit(Send{To: id, Event: sent})
+}
+
+// tellReaders sends all readers heard of late what has changed.
+func (s *State) tellReaders() {
+	for _, id := range sortedKeys(s.control.roster.readers) {
+		known := s.control.roster.readers[id]
+		if s.now.Since(known.heard) < ReaderSilence {
+			s.sendRoster(id, known)
+			continue
+		}
+		delete(s.control.roster.readers, id)
+		s.log(MembershipSubsystem, Info, "host reads the server list no longer", Field{"host", string(id)})
+	}
+}
+
+// countReaders counts the entry hosts of the deployment, as far as this host knows.
+func (s *State) countReaders() int {
+	count := s.ownReaders()
+	for id, n := range s.control.roster.elsewhere {
+		if s.hears(id) {
+			count += n
+		}
+	}
+	return count
+}
+
+// ownReaders counts the entry hosts that follow this control host.
+func (s *State) ownReaders() int {
+	count := 0
+	for _, known := range s.control.roster.readers {
+		if known.serves && s.now.Since(known.heard) < RosterSilence {
+			count++
+		}
+	}
+	return count
+}
+
+// listServer takes a server's latest announcement into the list and tells the readers.
+func (s *State) listServer(a leaser.Announcement, standing Standing) {
+	r := &s.control.roster
+	before := r.revision
+	r.evict(s.now, a)
+	r.note(s.now, a, standing)
+	if r.revision != before {
+		s.tellReaders()
+	}
+}
+
+// withdraw handles a server that leaves, and tells the other control hosts.
+func (s *State) withdraw(e ServerWithdrawn) {
+	s.noteWithdrawal(e.Server)
+	s.tellHosts(WithdrawalRelayed{Server: e.Server})
+	s.emit(GrantLease{Ticket: e.Ticket, Term: 0, Declined: !s.acknowledges()})
+}
+
+func (s *State) noteWithdrawal(id identifier.ServerID) {
+	known, ok := s.control.roster.servers[id]
+	if !ok {
+		s.log(MembershipSubsystem, Info, "unknown backend server leaves", Field{"server", string(id)})
+		return
+	}
+	if known.Standing != Left {
+		s.log(MembershipSubsystem, Info, "backend server leaves", Field{"server", string(id)})
+	}
+	s.control.leases.Drop(id)
+	s.listServer(known.Announcement, Left)
+}
+
+// acknowledges reports whether this host may acknowledge what backend servers say:
+// what it hears reaches the entry hosts only while it is in touch with the other control hosts.
+func (s *State) acknowledges() bool {
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		return true
+	}
+	return s.inTouch()
+}
+
+// announceTo returns where a server is to announce itself next: to a control host of
+// its own failure domain, so that its announcements stay there.
+func (s *State) announceTo(domain identifier.DomainID) identifier.Address {
+	d, ok := s.parameters.Duty.(ControlDuty)
+	if !ok || s.parameters.Domain == domain {
+		return d.Announcements
+	}
+	for _, id := range sortedKeys(s.control.heard) {
+		if s.control.heard[id].host.Domain == domain && !s.control.heard[id].leaving {
+			return s.control.roster.announcements[id]
+		}
+	}
+	return d.Announcements
+}
+
+// hearRoster takes in the list of a control host.
+func (s *State) hearRoster(e RosterSent) {
+	r := &s.control.roster
+	for _, h := range e.Controls {
+		r.knowControl(s.now, h)
+	}
+	if _, ok := s.parameters.Duty.(ControlDuty); ok {
+		s.learnRoster(e)
+		return
+	}
+	held := r.positions[e.From]
+	if !e.Whole && (held.Started != e.Position.Started || held.Revision > e.Position.Revision) {
+		// The changes follow on a list that this host does not hold.
+		delete(r.positions, e.From)
+		return
+	}
+	changed := s.takeServers(e)
+	r.positions[e.From] = e.Position
+	if e.Source != nil {
+		changed = s.enforceSource(*e.Source) || changed
+	}
+	changed = s.follow(e) || changed
+	if changed {
+		s.publish()
+	}
+}
+
+// follow notes the control host whose word this entry host takes: one that is in
+// touch with its quorum, of its own failure domain if there is a choice.
+func (s *State) follow(e RosterSent) bool {
+	r := &s.control.roster
+	before, learnt := r.sharers, s.control.learnt
+	if !e.InTouch || !e.Learnt {
+		if r.source == e.From {
+			s.log(MembershipSubsystem, Warn, "control host is out of touch; looking for another",
+				Field{"host", string(e.From)})
+			r.source = ""
+		}
+		return false
+	}
+	s.control.touched = s.now
+	near := r.controls[e.From].host.Domain == s.parameters.Domain
+	if r.source == "" || (near && r.controls[r.source].host.Domain != s.parameters.Domain) {
+		s.log(MembershipSubsystem, Info, "control host followed", Field{"host", string(e.From)})
+		r.source = e.From
+	}
+	if r.source == e.From {
+		r.heard = s.now
+		r.sharers = max(1, e.Readers)
+		s.control.learnt = s.control.learnt || e.Whole || r.positions[e.From].Revision > 0
+	}
+	return r.sharers != before || s.control.learnt != learnt
+}
+
+// takeServers merges the servers of a control host's list into this entry host's.
+// Only a host that is in touch and has learnt the list may say that others are gone.
+func (s *State) takeServers(e RosterSent) bool {
+	r := &s.control.roster
+	changed := false
+	named := map[identifier.ServerID]bool{}
+	for _, l := range e.Servers {
+		named[l.Announcement.Server] = true
+		changed = s.takeServer(l) || changed
+	}
+	if !e.Whole || !e.InTouch || !e.Learnt {
+		return changed
+	}
+	for id := range r.servers {
+		if !named[id] {
+			delete(r.servers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// takeServer takes in one server unless what this host holds is newer.
+func (s *State) takeServer(l Listed) bool {
+	r := &s.control.roster
+	known, ok := r.servers[l.Announcement.Server]
+	if ok && known.Announcement.NewerThan(l.Announcement) {
+		return false
+	}
+	if ok && known.Standing == Left && known.Announcement.Incarnation == l.Announcement.Incarnation {
+		return false
+	}
+	return r.note(s.now, l.Announcement, l.Standing)
+}
+
+// learnRoster lets a control host that has started take in another's list.
+func (s *State) learnRoster(e RosterSent) {
+	if s.control.learnt {
+		return
+	}
+	for _, l := range e.Servers {
+		if l.Standing == Present && !s.control.roster.superseded(l.Announcement) {
+			s.hearServer(s.now, l.Announcement)
+			continue
+		}
+		s.control.roster.note(s.now, l.Announcement, l.Standing)
+	}
+	s.control.learnt = e.Learnt
+}
+
+// enforceSource puts a declaration in force on this entry host, unless it holds one as new.
+func (s *State) enforceSource(source declarer.Source) bool {
+	r := &s.control.roster
+	if source.Version <= s.control.version {
+		return false
+	}
+	d, err := s.interpret(source)
+	if err != nil {
+		s.log(ConfigurationSubsystem, Error, "declaration can't be read", Field{"reason", err.Error()})
+		return false
+	}
+	r.held = d
+	r.routes = matcher.New(d.Routes)
+	s.control.version = source.Version
+	s.log(ConfigurationSubsystem, Info, "declaration in force", versionField(source.Version))
+	return true
+}
+
+func (s *State) interpret(source declarer.Source) (*declarer.Declaration, error) {
+	text, err := source.Text()
+	if err != nil {
+		return nil, err
+	}
+	return s.parameters.Interpreter(text)
+}
+
+// fleetView returns what traffic needs to know of the declaration and its servers.
+func (s *State) fleetView() *FleetView {
+	r := &s.control.roster
+	if r.held == nil {
+		return nil
+	}
+	v := &FleetView{
+		Declaration: r.held,
+		Routes:      r.routes,
+		Services:    map[identifier.ServiceID]*declarer.Service{},
+		Backends:    map[identifier.ServiceID][]Backend{},
+		Sharers:     r.sharers,
+	}
+	for i := range r.held.Services {
+		v.Services[r.held.Services[i].ID] = &r.held.Services[i]
+	}
+	for _, id := range sortedKeys(r.servers) {
+		l := r.servers[id]
+		if l.Standing == Left || l.Announcement.State == leaser.Draining {
+			continue
+		}
+		a := l.Announcement
+		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{Announcement: a, Silent: l.Standing == Silent})
+	}
+	return v
+}
+
+// FleetView is the declaration in force and the backend servers that may take
+// work, for the traffic states to read. It is immutable once published.
+type FleetView struct {
+	Declaration *declarer.Declaration
+	Routes      *matcher.Matcher
+	Services    map[identifier.ServiceID]*declarer.Service
+	Backends    map[identifier.ServiceID][]Backend
+	// Sharers counts the entry hosts that share the servers.
+	Sharers int
+}
+
+// Backend is a backend server that may take work.
+type Backend struct {
+	leaser.Announcement
+	// Silent is set while the server does not announce itself; it may still run.
+	Silent bool
+}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -61,6 +61,8 @@
 	// learnt is set once the host has had the time to hear of all servers.
 	learnt bool
 	delays map[identifier.HostID]delay
+	// roster is the list of backend servers that control hosts keep for entry hosts.
+	roster roster
 }
 
 type hostLease struct {
@@ -70,11 +72,11 @@
 	leaving bool
 }
 
-func newControl() control {
+func newControl(term identifier.Micros) control {
 	return control{
 		arbiter:   quarantiner.NewArbiter(),
 		unsynced:  map[identifier.HostID]bool{},
-		leases:    leaser.New(LeaseTerm),
+		leases:    leaser.New(term),
 		heard:     map[identifier.HostID]hostLease{},
 		policies:  map[identifier.CustomerID]*configurer.Policy{},
 		published: &View{},
@@ -84,6 +86,7 @@
 		operations:  newOperations(),
 		replication: newReplication(),
 		delays:      map[identifier.HostID]delay{},
+		roster:      newRoster(),
 	}
 }
 
@@ -119,10 +122,19 @@
 func (s *State) startHost() {
 	s.control.self = router.Host{ID: s.parameters.Host, Domain: s.parameters.Domain}
 	s.control.started = s.now
-	s.sendHeartbeats()
-	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
-	s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
-	s.startSpread()
+	switch s.parameters.Duty.(type) {
+	case EntryDuty:
+		s.startRoster()
+	case ControlDuty:
+		s.startRoster()
+		s.sendHeartbeats()
+		s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+	default:
+		s.sendHeartbeats()
+		s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
+		s.schedule(s.now.Add(CrashNewsInterval), crashesDue{})
+		s.startSpread()
+	}
 }
 
 func (s *State) reduceMembership(event MembershipEvent) {
@@ -141,21 +153,46 @@
 		s.sendAnnouncements(e)
 	case HostHeard:
 		s.hearHost(e)
+	case RosterWanted:
+		s.tellReader(e)
+	case RosterSent:
+		s.hearRoster(e)
+	case ServerWithdrawn:
+		s.withdraw(e)
+	case WithdrawalRelayed:
+		s.noteWithdrawal(e.Server)
+	case SeedsChanged:
+		s.changeSeeds(e)
 	}
 }
 
 // reduceAnnounced renews the server's lease, tells the other hosts, and answers the server.
 func (s *State) reduceAnnounced(e ServerAnnounced) {
+	grant := GrantLease{Ticket: e.Ticket, Term: s.leaseTerm(), Declined: !s.acknowledges()}
+	if s.control.roster.superseded(e.Announcement) {
+		s.log(MembershipSubsystem, Info, "late announcement ignored", Field{"server", string(e.Announcement.Server)})
+		s.emit(grant)
+		return
+	}
 	s.relay(e, s.hearServer(s.now, e.Announcement))
-	server := s.control.published.Servers[e.Announcement.Server]
-	s.emit(GrantLease{Ticket: e.Ticket, Term: LeaseTerm, Owner: server.Owner})
+	if server, ok := s.control.published.Servers[e.Announcement.Server]; ok {
+		grant.Owner = server.Owner
+	}
+	grant.Address = s.announceTo(e.Announcement.Domain)
+	s.emit(grant)
 }
 
 // hearServer renews a server's lease. It reports whether anything that routing
 // depends on has changed.
 func (s *State) hearServer(at identifier.Instant, a leaser.Announcement) bool {
+	if s.control.roster.superseded(a) {
+		return false
+	}
 	changed := s.control.leases.Hear(at, a)
 	if changed {
+		if _, ok := s.parameters.Duty.(ControlDuty); ok {
+			s.listServer(a, Present)
+		}
 		s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
 		s.publish(a.Server)
 	}
@@ -167,6 +204,11 @@
 	s.delayOf(e.Host, e.Stamp)
 	before, known := s.control.heard[e.Host]
 	s.syncCrashes(e.Host, known)
+	if _, ok := s.parameters.Duty.(ControlDuty); ok {
+		s.control.roster.knowControl(s.now, router.Host{ID: e.Host, Domain: e.Domain})
+		s.control.roster.elsewhere[e.Host] = e.Readers
+		s.control.roster.announcements[e.Host] = e.Announcements
+	}
 	s.control.heard[e.Host] = hostLease{
 		host:    router.Host{ID: e.Host, Domain: e.Domain},
 		expires: s.now.Add(HostTimeout),
@@ -185,19 +227,24 @@
 
 func (s *State) sendHeartbeats() {
 	s.relayRenewals()
-	s.tellHosts(HostHeard{
+	heartbeat := HostHeard{
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Leaving: s.control.leaving,
 		Stamp:   s.stamp(),
-	})
+	}
+	if d, ok := s.parameters.Duty.(ControlDuty); ok {
+		heartbeat.Announcements = d.Announcements
+		heartbeat.Readers = s.ownReaders()
+	}
+	s.tellHosts(heartbeat)
 	s.extendOwnership()
 	s.schedule(s.now.Add(HeartbeatInterval), heartbeatDue{})
 }
 
 // tellHosts sends an event to every other entry host.
 func (s *State) tellHosts(e Event) {
-	for _, p := range s.parameters.Peers {
+	for _, p := range s.peers() {
 		s.emit(Send{To: p.ID, Event: e})
 	}
 }
@@ -205,7 +252,11 @@
 // learn notes when a host that has started has had the time to hear of all
 // servers, and reports whether that is so since the last look.
 func (s *State) learn() bool {
-	if s.control.learnt || s.now.Since(s.control.started) < LearningSpan {
+	span := LearningSpan
+	if _, ok := s.parameters.Duty.(ControlDuty); ok {
+		span = RosterLearningSpan
+	}
+	if s.control.learnt || s.now.Since(s.control.started) < span {
 		return false
 	}
 	s.control.learnt = true
@@ -218,7 +269,11 @@
 	changed := s.learn() || len(lapsed) > 0
 	for _, id := range lapsed {
 		s.log(MembershipSubsystem, Warn, "lease of backend server lapsed", Field{"server", string(id)})
+		if listed, ok := s.control.roster.servers[id]; ok && listed.Standing == Present {
+			s.listServer(listed.Announcement, Silent)
+		}
 	}
+	s.control.roster.forget(s.now)
 	for _, id := range sortedKeys(s.control.heard) {
 		if s.control.heard[id].expires <= s.now {
 			delete(s.control.heard, id)
@@ -243,6 +298,9 @@
 func (s *State) publish(changed ...identifier.ServerID) {
 	c := &s.control
 	c.published = c.published.next(c, changed)
+	if _, ok := s.parameters.Duty.(EntryDuty); ok {
+		c.published.Fleet = s.fleetView()
+	}
 	if s.parameters.Strict {
 		s.require(c.published.follows(newView(c)), ViewInvariant, "control")
 	}
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -148,7 +148,7 @@
 // pendingRead is a read that waits for the quorum to confirm the leader.
 type pendingRead struct {
 	waiter
-	read ObjectsRead
+	read Operation
 }
 
 // operations is the part of control about operations on the replicated state.
@@ -210,7 +210,7 @@
 	if !ok {
 		return
 	}
-	if s.now >= p.deadline || len(s.parameters.ControlHosts) == 0 {
+	if s.now >= p.deadline || len(s.controlHosts()) == 0 {
 		delete(s.control.operations.pending, number)
 		s.failOperation(p)
 		return
@@ -242,7 +242,7 @@
 	if s.control.operations.target != "" {
 		return s.control.operations.target
 	}
-	others := slices.DeleteFunc(slices.Clone(s.parameters.ControlHosts), func(h identifier.HostID) bool {
+	others := slices.DeleteFunc(s.controlHosts(), func(h identifier.HostID) bool {
 		return h == s.parameters.Host
 	})
 	if len(others) == 0 {
@@ -278,7 +278,7 @@
 		s.receiveProposal(w, o)
 	case AddMember, RemoveMember:
 		s.receiveMemberOperation(w, o)
-	case ObjectsRead:
+	case ObjectsRead, DeclarationRead:
 		s.control.operations.ticket++
 		ticket := s.control.operations.ticket
 		s.control.operations.known[w] = true
@@ -356,7 +356,7 @@
 	s.control.operations.target = e.From
 	switch o := p.origin.(type) {
 	case operatorOrigin:
-		s.emit(ReplyOperator{Ticket: o.ticket, Reply: e.Answer, Control: s.controlStatus()})
+		s.emit(ReplyOperator{Ticket: o.ticket, Reply: s.completeFound(e.Answer), Control: s.controlStatus()})
 	case queryOrigin:
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request, Answer: e.Answer}})
 	}
--- /dev/null
+++ b/pkg/reducer/piece.go
@@ -0,0 +1,453 @@
+package reducer
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/lagooncleat/lagooncleat/pkg/chooser"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/throttler"
+)
+
+const (
+	// extraPortion is the part of the allowed extra attempts that hosts plan with, so that
+	// uneven shares and windows of time leave them within the bound.
+	extraPortion = 0.8
+	// connectionPortion is the part of a server's connections that hosts plan with: some are
+	// still closing, and hosts learn late of each other.
+	connectionPortion = 0.9
+	// stallFactor is how many times the usual latency a server may be silent before new work
+	// goes elsewhere.
+	stallFactor = 3
+	// stallFloor is the least silence that counts as a stall.
+	stallFloor = 25 * identifier.Millisecond
+	// usualQuantile is the quantile of latencies that counts as usual.
+	usualQuantile = 0.95
+	// hedgeSlack is the time that a hedge is sent earlier than its usual latency asks for.
+	hedgeSlack = 4 * identifier.Millisecond
+	// pauseAllowance is the wait for one answer that is no sign of a slow server: servers
+	// pause now and then, which hedges make up for.
+	pauseAllowance = 250 * identifier.Millisecond
+	// misdirectionTerm is how long a server is left alone after another one answered at its address.
+	misdirectionTerm = 5 * identifier.Second
+)
+
+// OnceOnlyInvariant says that a request that must not be repeated is not sent while
+// an attempt may have run.
+const OnceOnlyInvariant Invariant = "sent-once"
+
+// watch is what a traffic state knows of the attempts in flight on one server.
+type watch struct {
+	open     map[identifier.AttemptID]identifier.Instant
+	answered identifier.Instant
+	// misdirected is until when the server is known not to be at its address.
+	misdirected identifier.Instant
+}
+
+func (s *State) watch(id identifier.ServerID) *watch {
+	w, ok := s.traffic.watches[id]
+	if !ok {
+		w = &watch{open: map[identifier.AttemptID]identifier.Instant{}}
+		s.traffic.watches[id] = w
+	}
+	return w
+}
+
+// stalled reports whether the server has answered nothing for longer than the span
+// although attempts are in flight.
+func (w *watch) stalled(now identifier.Instant, span identifier.Micros) bool {
+	oldest := identifier.Never
+	for _, sent := range w.open {
+		oldest = min(oldest, sent)
+	}
+	return oldest != identifier.Never && now.Since(max(oldest, w.answered)) > span
+}
+
+// seek sends an attempt for a piece, or arranges to look for a server again.
+func (s *State) seek(q *request, index int, p purpose) {
+	w := &q.pieces[index]
+	w.again = identifier.Never
+	if s.send(q, index, p) || w.open > 0 {
+		return
+	}
+	at := s.now.Add(ServerWait)
+	refused := len(w.refused) > 0 && len(q.route.Shards) == 0
+	if at >= q.deadline || s.exhausted(q, w) || refused {
+		s.settlePiece(q, index)
+		return
+	}
+	w.refused = nil
+	w.again = at
+}
+
+// exhausted reports whether no further attempt for the piece is allowed.
+func (s *State) exhausted(q *request, w *piece) bool {
+	return w.sent >= max(1, q.route.Attempts) || (w.ran && !q.route.Repeatable)
+}
+
+// settlePiece notes that nothing is awaited for a piece any more.
+func (s *State) settlePiece(q *request, index int) {
+	w := &q.pieces[index]
+	if !w.settled {
+		w.settled = true
+		w.again = identifier.Never
+		q.settled++
+	}
+}
+
+// send sends an attempt for a piece to one of its servers. It reports false when no
+// server may take it, or the budget of extra attempts is spent.
+func (s *State) send(q *request, index int, p purpose) bool {
+	w := &q.pieces[index]
+	if s.exhausted(q, w) {
+		return false
+	}
+	backend, ok := s.chooseBackend(q, w)
+	if !ok {
+		return false
+	}
+	if len(w.tried)+len(w.refused) > 0 && !s.extra(w.service).Spend() {
+		s.count(RepeatsWithheldCounter, "", q.rank)
+		return false
+	}
+	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Client)
+	if len(w.tried)+len(w.refused) == 0 {
+		s.extra(w.service).Earn(s.extraShare())
+	} else {
+		s.count(RepeatsCounter, "", q.rank)
+	}
+	a := &sending{
+		piece: index, service: w.service, server: backend.Server, rank: q.rank,
+		sent: s.now, hedge: identifier.Never, open: true, purpose: p,
+	}
+	a.hedge = s.hedgeInstant(q, a)
+	q.attempts = append(q.attempts, a)
+	q.offered = true
+	w.open++
+	w.sent++
+	w.tried = append(w.tried, backend.Server)
+	id := identifier.AttemptID{Request: q.Request, Sequence: uint32(len(q.attempts))}
+	s.traffic.sendings[id] = a
+	s.watch(backend.Server).open[id] = s.now
+	s.traffic.chooser.Begin(backend.Server, q.rank)
+	s.count(ExchangesCounter, "", q.rank)
+	if backend.Domain != s.parameters.Domain {
+		s.count(DetoursCounter, "", q.rank)
+	}
+	s.emit(Exchange{
+		Attempt: id, Server: backend.Server, Address: backend.Address, Deadline: q.deadline,
+		Connections: s.connectionLimit(w.service), Fresh: !q.route.Repeatable, Content: q.Content,
+	})
+	return true
+}
+
+// connectionLimit returns how many connections this host may hold to a server of the service.
+func (s *State) connectionLimit(id identifier.ServiceID) identifier.Connections {
+	service, ok := s.traffic.view.Fleet.Services[id]
+	if !ok {
+		return 1
+	}
+	planned := float64(service.Connections) * connectionPortion / float64(s.traffic.view.Fleet.Sharers)
+	return max(1, identifier.Connections(planned))
+}
+
+// extra returns the budget of extra attempts to a service.
+func (s *State) extra(id identifier.ServiceID) *throttler.Throttler {
+	known, ok := s.traffic.extras[id]
+	if !ok {
+		burst := s.extraBurst()
+		budget := throttler.New(burst, burst/2)
+		known = &budget
+		s.traffic.extras[id] = known
+	}
+	return known
+}
+
+// extraBurst is this host's part of the extra attempts that are allowed at any time.
+func (s *State) extraBurst() float64 {
+	d, ok := s.parameters.Duty.(EntryDuty)
+	if !ok {
+		return 0
+	}
+	return max(1, float64(d.ExtraAttempts.Slack)*extraPortion/float64(s.traffic.view.Fleet.Sharers))
+}
+
+// extraShare is the share of an extra attempt that a first one earns.
+func (s *State) extraShare() identifier.Ratio {
+	d, ok := s.parameters.Duty.(EntryDuty)
+	if !ok {
+		return 0
+	}
+	return d.ExtraAttempts.Share * extraPortion
+}
+
+// chooseBackend picks the server for an attempt: first among those that are neither
+// silent nor stalled, then among the silent ones.
+func (s *State) chooseBackend(q *request, w *piece) (*Backend, bool) {
+	for _, accept := range []func(*Backend) bool{
+		func(b *Backend) bool { return !b.Silent && !s.stalls(w.service, b) },
+		func(b *Backend) bool { return !b.Silent },
+		func(*Backend) bool { return true },
+	} {
+		if id, ok := s.traffic.chooser.Choose(s.now, s.collectBackends(q, w, accept), s.random.IntN); ok {
+			return s.backend(w.service, id)
+		}
+	}
+	return nil, false
+}
+
+func (s *State) backend(service identifier.ServiceID, id identifier.ServerID) (*Backend, bool) {
+	backends := s.traffic.view.Fleet.Backends[service]
+	i := slices.IndexFunc(backends, func(b Backend) bool { return b.Server == id })
+	if i < 0 {
+		return nil, false
+	}
+	return &backends[i], true
+}
+
+// stalls reports whether the server has gone silent with attempts in flight.
+func (s *State) stalls(service identifier.ServiceID, b *Backend) bool {
+	w, ok := s.traffic.watches[b.Server]
+	if !ok || len(w.open) == 0 {
+		return false
+	}
+	return w.stalled(s.now, max(stallFloor, stallFactor*s.usualLatency(service)))
+}
+
+// usualLatency returns the usual latency of a service's answers of any rank, in microseconds.
+func (s *State) usualLatency(id identifier.ServiceID) identifier.Micros {
+	usual := identifier.Micros(0)
+	for r := range identifier.Rank(identifier.RankCount) {
+		usual = max(usual, s.traffic.service(id).hedger.Quantile(r, usualQuantile))
+	}
+	return usual
+}
+
+// collectBackends returns the servers of the piece's service that may take an attempt
+// and that the condition accepts.
+func (s *State) collectBackends(q *request, w *piece, accept func(*Backend) bool) []chooser.Candidate {
+	candidates := s.traffic.candidates[:0]
+	d, _ := s.parameters.Duty.(EntryDuty)
+	limit := int(s.connectionLimit(w.service))
+	backends := s.traffic.view.Fleet.Backends[w.service]
+	for i := range backends {
+		b := &backends[i]
+		if slices.Contains(w.tried, b.Server) || slices.Contains(w.refused, b.Server) || !accept(b) {
+			continue
+		}
+		if known, ok := s.traffic.watches[b.Server]; ok && (known.misdirected > s.now || len(known.open) >= limit) {
+			continue
+		}
+		detour := identifier.Micros(0)
+		if b.Domain != s.parameters.Domain {
+			detour = d.Detour
+		}
+		candidates = append(candidates, chooser.Candidate{
+			Server:      b.Server,
+			Incarnation: b.Incarnation,
+			Starting:    b.State == leaser.Starting,
+			Rank:        q.rank,
+			Slots:       b.Slots,
+			Detour:      detour,
+		})
+	}
+	s.traffic.candidates = candidates
+	return candidates
+}
+
+// hedgeInstant returns when to send a second attempt beside one: as late as its answer
+// still meets the objective, since an earlier one would only be sent more often, but not
+// before the first one is overdue. It is Never for what must not be repeated.
+func (s *State) hedgeInstant(q *request, a *sending) identifier.Instant {
+	if !q.route.Repeatable || len(q.pieces[a.piece].tried) > 0 {
+		return identifier.Never
+	}
+	usual := s.traffic.service(a.service).hedger.Quantile(q.rank, usualQuantile)
+	if usual == 0 {
+		usual = q.route.Objective / 3
+	}
+	at := max(a.sent.Add(usual), q.objective.Add(-usual-hedgeSlack))
+	if at >= q.deadline {
+		return identifier.Never
+	}
+	return at
+}
+
+// hedgeOverdue sends second attempts beside those that are overdue.
+func (s *State) hedgeOverdue(q *request) {
+	for i := range q.attempts {
+		a := q.attempts[i]
+		if !a.open || a.hedge > s.now {
+			continue
+		}
+		a.hedge = identifier.Never
+		elapsed := s.now.Since(a.sent)
+		s.noteWait(a, elapsed)
+		if q.pieces[a.piece].settled || q.pieces[a.piece].open > 1 {
+			continue
+		}
+		if !s.send(q, a.piece, hedged) && s.now.Add(elapsed) < q.deadline {
+			a.hedge = s.now.Add(elapsed)
+		}
+	}
+}
+
+// noteWait takes in that an attempt has waited in vain for longer than a pause lasts.
+func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
+	if elapsed > pauseAllowance {
+		s.traffic.chooser.Wait(s.now, a.server, elapsed)
+	}
+}
+
+// cancelSending withdraws an open attempt; its exchange still ends with an event.
+func (s *State) cancelSending(q *request, index int) {
+	a := q.attempts[index]
+	a.open = false
+	q.pieces[a.piece].open--
+	s.emit(CancelExchange{
+		Attempt: identifier.AttemptID{Request: q.Request, Sequence: uint32(index + 1)},
+		Grace:   CancelGrace,
+	})
+}
+
+// endSending takes an attempt whose exchange has ended out of the accounts. It returns
+// the request that still waits for the attempt, if any does.
+func (s *State) endSending(id identifier.AttemptID) (*request, *sending) {
+	a, ok := s.traffic.sendings[id]
+	if !ok {
+		return nil, nil
+	}
+	delete(s.traffic.sendings, id)
+	delete(s.watch(a.server).open, id)
+	s.traffic.chooser.End(a.server, a.rank)
+	q, ok := s.traffic.requests[id.Request]
+	if !ok || !a.open {
+		return nil, a
+	}
+	a.open = false
+	q.pieces[a.piece].open--
+	return q, a
+}
+
+// takeAnswer handles a server's whole answer.
+func (s *State) takeAnswer(e ExchangeAnswered) {
+	q, a := s.endSending(e.Attempt)
+	if a == nil {
+		return
+	}
+	latency := s.now.Since(a.sent)
+	s.watch(a.server).answered = s.now
+	if e.Answer.Success {
+		s.traffic.chooser.Serve(s.now, a.server, latency)
+		s.traffic.service(a.service).hedger.Observe(a.rank, latency)
+	} else {
+		s.traffic.chooser.Fail(s.now, a.server)
+	}
+	if q == nil {
+		return
+	}
+	w := &q.pieces[a.piece]
+	w.ran, q.ran = true, true
+	if !e.Answer.Success || s.unusable(q, e.Answer) {
+		w.failure = &e.Answer
+		s.logRequest(q, Info, "attempt failed", Field{"server", string(a.server)}, Field{"service", string(a.service)})
+		s.tryElsewhere(q, a.piece)
+		return
+	}
+	w.answer = &e.Answer
+	w.failure = nil
+	q.served++
+	s.settlePiece(q, a.piece)
+	for i, other := range q.attempts {
+		if other.open && other.piece == a.piece {
+			s.cancelSending(q, i)
+		}
+	}
+	s.settleRequest(q)
+}
+
+// unusable reports whether a part of a sharded answer lacks a signature of its own.
+func (s *State) unusable(q *request, answer ServerAnswer) bool {
+	if len(q.route.Shards) == 0 {
+		return false
+	}
+	return answer.Signature == "" || slices.ContainsFunc(q.pieces, func(p piece) bool {
+		return p.answer != nil && p.answer.Signature == answer.Signature
+	})
+}
+
+// takeRefusal handles an attempt that did not run.
+func (s *State) takeRefusal(e ExchangeRefused) {
+	q, a := s.endSending(e.Attempt)
+	if a == nil {
+		return
+	}
+	if e.Reason == ExchangeMisdirected {
+		s.watch(a.server).misdirected = s.now.Add(misdirectionTerm)
+	}
+	s.traffic.chooser.Fail(s.now, a.server)
+	if q == nil {
+		return
+	}
+	w := &q.pieces[a.piece]
+	w.sent--
+	w.tried = slices.DeleteFunc(w.tried, func(id identifier.ServerID) bool { return id == a.server })
+	w.refused = append(w.refused, a.server)
+	if e.Reason == ExchangeUnreachable && len(w.tried) == 0 {
+		// Nothing has arrived at the service, so the next attempt is not an extra one there.
+		s.extra(w.service).Earn(1)
+	}
+	s.logRequest(q, Info, "attempt refused", Field{"server", string(a.server)},
+		Field{"service", string(a.service)}, Field{"reason", e.Reason.String()})
+	s.tryElsewhere(q, a.piece)
+}
+
+// takeLoss handles an attempt that may have run and whose answer will not come.
+func (s *State) takeLoss(e ExchangeLost) {
+	q, a := s.endSending(e.Attempt)
+	if a == nil {
+		return
+	}
+	if q == nil {
+		s.noteWait(a, s.now.Since(a.sent))
+		return
+	}
+	s.traffic.chooser.Fail(s.now, a.server)
+	q.pieces[a.piece].ran, q.ran = true, true
+	s.logRequest(q, Info, "attempt lost", Field{"server", string(a.server)},
+		Field{"service", string(a.service)}, Field{"reason", e.Reason})
+	s.tryElsewhere(q, a.piece)
+}
+
+// tryElsewhere arranges another attempt for a piece that none is in flight for.
+func (s *State) tryElsewhere(q *request, index int) {
+	if q.pieces[index].open == 0 && !q.pieces[index].settled {
+		s.seek(q, index, retried)
+	}
+	s.settleRequest(q)
+}
+
+// adoptFleet forgets what was measured of servers that are gone.
+func (s *State) adoptFleet(v *FleetView) {
+	if v == nil {
+		return
+	}
+	known := map[identifier.ServerID]bool{}
+	for _, backends := range v.Backends {
+		for i := range backends {
+			known[backends[i].Server] = true
+		}
+	}
+	s.traffic.chooser.Retain(func(id identifier.ServerID) bool { return known[id] })
+	for id, w := range s.traffic.watches {
+		if len(w.open) == 0 && !known[id] {
+			delete(s.traffic.watches, id)
+		}
+	}
+	for id := range s.traffic.extras {
+		s.traffic.extras[id].Limit(s.extraBurst())
+	}
+}
+
+func formatCount(n int) string { return strconv.Itoa(n) }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -17,6 +18,10 @@
 	Peers []router.Host
 	// ControlHosts are the entry hosts with disks, which keep the replicated log.
 	ControlHosts []identifier.HostID
+	// Duty is what this host does; nil stands for CombinedDuty.
+	Duty Duty
+	// Interpreter reads declarations; hosts with EntryDuty need it.
+	Interpreter declarer.Interpreter
 	// Strict makes a broken invariant panic; tests set it.
 	Strict bool
 }
@@ -41,14 +46,15 @@
 
 // New returns a state that has seen no event.
 func New(p Parameters) *State {
-	return &State{
+	s := &State{
 		parameters: p,
 		random:     rand.New(rand.NewPCG(0, 0)),
 		wake:       identifier.Never,
 		suspects:   quarantiner.New(),
-		control:    newControl(),
 		traffic:    newTraffic(),
 	}
+	s.control = newControl(s.leaseTerm())
+	return s
 }
 
 // Reduce applies an event that happened at the instant and returns the effects
@@ -74,6 +80,8 @@
 		s.reduceSlot(e)
 	case QuarantineEvent:
 		s.reduceQuarantine(e)
+	case RequestEvent:
+		s.reduceRequest(e)
 	default:
 		panic(fmt.Sprintf("reducer: event of unknown family %T", event))
 	}
@@ -139,6 +147,10 @@
 		s.reviewSlots(t)
 	case estimateDue:
 		s.publishEstimates()
+	case rosterDue:
+		s.readRosters()
+	case requestDue:
+		s.reviewRequest(t)
 	}
 }
 
--- a/pkg/reducer/renewal.go
+++ b/pkg/reducer/renewal.go
@@ -17,7 +17,7 @@
 		s.tellHosts(ServerRelayed{Announcement: e.Announcement, From: s.parameters.Host, Stamp: s.stamp()})
 		return
 	}
-	if len(s.parameters.Peers) > 0 {
+	if len(s.peers()) > 0 {
 		s.control.renewals = append(s.control.renewals, pendingRenewal{e.Announcement.Server, s.now})
 	}
 }
@@ -59,7 +59,7 @@
 		if !ok {
 			continue
 		}
-		heard := s.control.leases.Expiry(id).Add(-LeaseTerm)
+		heard := s.control.leases.Expiry(id).Add(-s.leaseTerm())
 		s.emit(Send{To: e.Host, Event: ServerRelayed{
 			Announcement: a, From: s.parameters.Host, Stamp: s.stamp(), Age: s.now.Since(heard),
 		}})
--- a/pkg/reducer/replication.go
+++ b/pkg/reducer/replication.go
@@ -102,9 +102,11 @@
 // recoverLog starts the replicated log from what the data folder holds.
 func (s *State) recoverLog(e LogRecovered) {
 	s.control.replication.log = replicator.New[Command, ControlSnapshot](replicator.Parameters{
-		Self:  replicator.Peer{Host: s.parameters.Host, Replica: e.Replica},
-		Hosts: s.parameters.ControlHosts,
-		Seed:  s.random.Uint64(),
+		Self:    replicator.Peer{Host: s.parameters.Host, Replica: e.Replica},
+		Hosts:   s.seeds(),
+		Founded: s.founded(),
+		Open:    s.openMembership(),
+		Seed:    s.random.Uint64(),
 		Require: func(holds bool, i replicator.Invariant, detail string) {
 			s.require(holds, Invariant(i), detail)
 		},
@@ -112,6 +114,18 @@
 	s.control.replication.log.Recover(s.now, e.Stored)
 }
 
+// founded reports whether the deployment has a replicated log that an empty disk may only join.
+func (s *State) founded() bool {
+	d, ok := s.parameters.Duty.(ControlDuty)
+	return ok && !d.Founder
+}
+
+// openMembership reports whether control hosts join the replicated log by themselves.
+func (s *State) openMembership() bool {
+	_, ok := s.parameters.Duty.(ControlDuty)
+	return ok
+}
+
 // tickReplication does what has fallen due before anything else is looked at, so
 // that a leader that was frozen steps down first.
 func (s *State) tickReplication() {
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -284,6 +284,11 @@
 // adoptView takes a view into use and refuses queued attempts of servers that
 // this host no longer gives work to.
 func (s *State) adoptView(v *View) {
+	if _, ok := s.parameters.Duty.(EntryDuty); ok {
+		s.traffic.view = v
+		s.adoptFleet(v.Fleet)
+		return
+	}
 	s.adoptOwnership(s.traffic.view, v)
 	s.keepPrevious(v)
 	s.traffic.view = v
--- a/pkg/reducer/spread.go
+++ b/pkg/reducer/spread.go
@@ -89,7 +89,18 @@
 }
 
 func (s *State) isControlHost(h identifier.HostID) bool {
-	return slices.Contains(s.parameters.ControlHosts, h)
+	if _, ok := s.parameters.Duty.(ControlDuty); ok && h == s.parameters.Host {
+		return true
+	}
+	return slices.Contains(s.controlHosts(), h)
+}
+
+// controlHosts returns the hosts that keep the replicated log, as far as this host knows.
+func (s *State) controlHosts() []identifier.HostID {
+	if len(s.control.roster.controls) == 0 {
+		return slices.Clone(s.parameters.ControlHosts)
+	}
+	return sortedKeys(s.control.roster.controls)
 }
 
 // pull asks the next control host for a newer configuration, and now and then another host.
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -47,6 +47,14 @@
 	}
 	// estimateDue publishes the estimates of the queues.
 	estimateDue struct{}
+	// rosterDue asks control hosts for changes in the list of backend servers.
+	rosterDue struct{}
+	// requestDue looks at a request when a hedge, a retry, its objective or its deadline
+	// comes; at tells it from an older timer.
+	requestDue struct {
+		request identifier.RequestID
+		at      identifier.Instant
+	}
 )
 
 func (heartbeatDue) isTimer()   {}
@@ -62,6 +70,8 @@
 func (pullDue) isTimer()        {}
 func (operationDue) isTimer()   {}
 func (replicationDue) isTimer() {}
+func (rosterDue) isTimer()      {}
+func (requestDue) isTimer()     {}
 
 type scheduled struct {
 	at    identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -4,10 +4,12 @@
 	"github.com/lagooncleat/lagooncleat/pkg/admitter"
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/hedger"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/planner"
+	"github.com/lagooncleat/lagooncleat/pkg/splitter"
 	"github.com/lagooncleat/lagooncleat/pkg/throttler"
 )
 
@@ -41,6 +43,17 @@
 	losses map[identifier.ServerID][]loss
 	// running holds the dispatched requests that are not repeatable, by key.
 	running map[deduplicator.Key]identifier.RequestID
+
+	// requests are the clients' requests in progress, and sendings their attempts whose
+	// exchange has not ended, which may outlive the request.
+	requests map[identifier.RequestID]*request
+	sendings map[identifier.AttemptID]*sending
+	// watches is what is known of the attempts in flight, by server.
+	watches map[identifier.ServerID]*watch
+	// extras are the budgets of extra attempts.
+	extras map[identifier.ServiceID]*throttler.Throttler
+	// splitters divide the requests of split routes.
+	splitters map[declarer.RouteID]*splitter.Splitter
 }
 
 // service is what a state measured of one service, and its budgets of extra attempts.
@@ -62,6 +75,12 @@
 		held:     map[identifier.Fingerprint][]identifier.RequestID{},
 		losses:   map[identifier.ServerID][]loss{},
 		running:  map[deduplicator.Key]identifier.RequestID{},
+
+		requests:  map[identifier.RequestID]*request{},
+		sendings:  map[identifier.AttemptID]*sending{},
+		watches:   map[identifier.ServerID]*watch{},
+		extras:    map[identifier.ServiceID]*throttler.Throttler{},
+		splitters: map[declarer.RouteID]*splitter.Splitter{},
 	}
 }
 
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -57,5 +57,8 @@
 		AddMember{},
 		RemoveMember{},
 		MembersDecided{},
+		ConfigurationDeclared{},
+		DeclarationRead{},
+		DeclarationFound{},
 	}
 }
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -29,6 +29,8 @@
 	Leaving []identifier.HostID
 	// Control is what this host knows of the replicated log.
 	Control ControlStatus
+	// Fleet is what an entry host knows of the declaration and its servers; nil elsewhere.
+	Fleet *FleetView
 	// Learnt is set once the host has had the time to hear of all servers.
 	Learnt bool
 }
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -43,7 +43,9 @@
 }
 
 func (r *Replicator[C, S]) sendProbes() {
-	for _, h := range r.parameters.Hosts {
+	targets := slices.Concat(r.parameters.Hosts, r.contacts)
+	slices.Sort(targets)
+	for _, h := range slices.Compact(targets) {
 		if h == r.parameters.Self.Host {
 			continue
 		}
@@ -56,7 +58,8 @@
 }
 
 // receiveProbe notes a replica that may be no member. A leader
-// adds it as a learner when it stands in for a member of the same host.
+// adds it as a learner when it stands in for a member of the same host, or when
+// any host may join.
 func (r *Replicator[C, S]) receiveProbe(e Envelope, m Probe) {
 	r.probes.heard[e.From.Host] = heardProbe{
 		peer:  e.From,
@@ -64,7 +67,8 @@
 		ready: m.Empty && m.Seen == r.parameters.Self.Replica && slices.Equal(m.Hosts, r.parameters.Hosts),
 	}
 	_, known := r.Members().Find(e.From.Replica)
-	if r.role != leader || known || !r.Members().HasHost(e.From.Host) || !r.mayChange() {
+	expected := r.parameters.Open || r.Members().HasHost(e.From.Host)
+	if r.role != leader || known || !expected || !r.mayChange() {
 		return
 	}
 	members := r.Members()
@@ -79,7 +83,7 @@
 // mayFound reports whether this replica is the first of the hosts and all of
 // them have said of late, to this very replica, that they are empty.
 func (r *Replicator[C, S]) mayFound() bool {
-	if r.log.last() > 0 || r.parameters.Self.Host != slices.Min(r.parameters.Hosts) {
+	if r.parameters.Founded || r.log.last() > 0 || r.parameters.Self.Host != slices.Min(r.parameters.Hosts) {
 		return false
 	}
 	for _, h := range r.parameters.Hosts {
@@ -145,12 +149,30 @@
 				return
 			}
 		}
+		if silent, ok := r.silentVoter(); ok {
+			r.replaceVoter(silent)
+			return
+		}
 		x.Voter = true
 		r.change(r.Members().with(x))
 		return
 	}
 }
 
+// silentVoter returns a voter that a host which has joined may replace.
+func (r *Replicator[C, S]) silentVoter() (Member, bool) {
+	if !r.parameters.Open {
+		return Member{}, false
+	}
+	for _, x := range r.Members() {
+		p, ok := r.leading.progress[x.Replica]
+		if ok && x.Voter && r.now.Since(p.heard) >= SilentVoterTimeout && r.inTouch(r.Members().without(x.Replica)) {
+			return x, true
+		}
+	}
+	return Member{}, false
+}
+
 // replaceVoter removes the voter that a learner stands in for, once the others can go on without.
 func (r *Replicator[C, S]) replaceVoter(old Member) {
 	if remaining := r.Members().without(old.Replica); r.inTouch(remaining) {
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -19,6 +19,10 @@
 	ProbeInterval = 200 * identifier.Millisecond
 	// LearnerTimeout is the silence after which a learner is removed.
 	LearnerTimeout = 10 * identifier.Second
+	// SilentVoterTimeout is the silence after which a voter is removed when a host that has
+	// joined can take its place. It is longer than a restart or a short cut, and a host
+	// that was only cut off joins again.
+	SilentVoterTimeout = 5 * identifier.Second
 	// SnapshotRetryInterval separates the sendings of a snapshot to one follower.
 	SnapshotRetryInterval = 2 * identifier.Second
 	// MaxBatch bounds the entries of one message.
@@ -32,6 +36,11 @@
 	Self Peer
 	// Hosts are the control hosts of the settings, this one among them; they found the group.
 	Hosts []identifier.HostID
+	// Founded is set when a group exists, so that an empty disk must not found another.
+	Founded bool
+	// Open lets hosts that are no members join by their probes. A learner that has
+	// caught up then takes the place of a voter that has been silent for SilentVoterTimeout.
+	Open bool
 	// Seed feeds the random election timeouts.
 	Seed uint64
 	// Require reports whether an invariant holds, each time that it is checked.
@@ -71,9 +80,11 @@
 	applied  identifier.LogIndex
 
 	leading leadership
-	probes  probes
-	writes  writes
-	output  Output
+	// contacts are hosts besides Parameters.Hosts that probes are sent to.
+	contacts []identifier.HostID
+	probes   probes
+	writes   writes
+	output   Output
 }
 
 // New returns a Replicator that does nothing until Recover is called. A new
@@ -107,6 +118,11 @@
 	r.runDue()
 }
 
+// Contact replaces the hosts besides Parameters.Hosts that this replica may ask to join.
+func (r *Replicator[C, S]) Contact(hosts []identifier.HostID) {
+	r.contacts = hosts
+}
+
 // Tick does what has fallen due.
 func (r *Replicator[C, S]) Tick(now identifier.Instant) {
 	r.begin(now)
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -39,6 +39,12 @@
 	t.tokens = min(t.burst, t.tokens+float64(share))
 }
 
+// Limit changes how many tokens are saved up at most.
+func (t *Throttler) Limit(burst float64) {
+	t.burst = burst
+	t.tokens = min(burst, t.tokens)
+}
+
 // Spend takes a token for one extra attempt; it reports false when there is none.
 func (t *Throttler) Spend() bool {
 	if t.tokens < 1-rounding {
