pkg/reducer: charge every arrival beyond the first

Cause: once all servers had refused a piece, its list of refusals was cleared for the next look, and the next attempt counted as a first one. Ruled out: the share and the burst of the budget, whose sum over 8 hosts is 380 of 476. Change: a piece counts its arrivals; an attempt that reached nothing is taken off again.

--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -107,16 +107,10 @@
 	if !ok {
 		return false
 	}
-	if len(w.tried)+len(w.refused) > 0 && !s.extra(w.service).Spend() {
-		s.count(RepeatsWithheldCounter, "", q.rank)
+	if !s.affordArrival(q, w) {
 		return false
 	}
 	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Client)
-	if len(w.tried)+len(w.refused) == 0 {
-		s.extra(w.service).Earn(s.extraShare())
-	} else {
-		s.count(RepeatsCounter, "", q.rank)
-	}
 	a := &sending{
 		piece: index, service: w.service, server: backend.Server, rank: q.rank,
 		sent: s.now, hedge: identifier.Never, open: true, purpose: p,
@@ -126,6 +120,7 @@
 	q.offered = true
 	w.open++
 	w.sent++
+	w.arrivals++
 	w.tried = append(w.tried, backend.Server)
 	id := identifier.AttemptID{Request: q.Request, Sequence: uint32(len(q.attempts))}
 	s.traffic.sendings[id] = a
@@ -142,6 +137,23 @@
 	return true
 }
 
+// affordArrival takes an attempt beyond the first from the service's budget, which
+// first ones fill, and reports whether there was enough.
+func (s *State) affordArrival(q *request, w *piece) bool {
+	budget := s.extra(w.service)
+	if w.arrivals == 0 {
+		budget.Earn(s.extraShare())
+		return true
+	}
+	if !budget.Spend() {
+		s.count(RepeatsWithheldCounter, "", q.rank)
+		return false
+	}
+	s.require(budget.Kept(), RetryInvariant, string(w.service))
+	s.count(RepeatsCounter, "", q.rank)
+	return true
+}
+
 // connectionLimit returns how many connections this host may hold to a server of the service.
 func (s *State) connectionLimit(id identifier.ServiceID) identifier.Connections {
 	service, ok := s.traffic.view.Fleet.Services[id]
@@ -394,9 +406,8 @@
 	w.sent--
 	w.tried = slices.DeleteFunc(w.tried, func(id identifier.ServerID) bool { return id == a.server })
 	w.refused = append(w.refused, a.server)
-	if e.Reason == ExchangeUnreachable && len(w.tried) == 0 {
-		// Nothing has arrived at the service, so the next attempt is not an extra one there.
-		s.extra(w.service).Earn(1)
+	if e.Reason == ExchangeUnreachable {
+		w.arrivals--
 	}
 	s.logRequest(q, Info, "attempt refused", Field{"server", string(a.server)},
 		Field{"service", string(a.service)}, Field{"reason", e.Reason.String()})
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -216,8 +216,9 @@
 // piece is the progress of one part of a request: that of one shard, or the whole.
 type piece struct {
 	service identifier.ServiceID
-	// open counts attempts in flight; sent, the servers that may have run the piece.
-	open, sent int
+	// open counts attempts in flight; sent, the servers that may have run the piece;
+	// arrivals, the attempts that may have reached the service, whether they ran or not.
+	open, sent, arrivals int
 	// tried are the servers that an attempt was sent to, and that did not refuse it.
 	tried []identifier.ServerID
 	// refused are the servers that refused it.
