pkg/reducer: keep to the own domain's servers and leave room for hedges

Entry hosts were counted once for each control host they asked, so that one connection a server was left; one pause raised a server's estimate for seconds; one failure shut a server for 100 ms; hedges found no connection to other domains. Change: sharers are counted by failure domain, by the host they follow; latencies count up to 3 estimates; two failures in a row shut a server; near hosts share 0.6 of a server's connections; hedges lead by 1.5 usual latencies.

--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -9,6 +9,10 @@
 const (
 	// sampleWeight is the least weight of a new latency in the estimate.
 	sampleWeight = 0.05
+	// outlierFactor bounds a latency that is taken into the estimate, as a multiple of the
+	// estimate: one pause of a server delays many attempts, and a server that stays slow
+	// raises its estimate in a few samples all the same.
+	outlierFactor = 3
 	// waitWeight is the least weight of a wait in vain that is longer than the estimate.
 	// It is the larger, since each state must learn of a slow server from a few attempts.
 	waitWeight = 0.3
@@ -83,7 +87,11 @@
 }
 
 func (r *record) serve(now identifier.Instant, latency identifier.Micros) {
-	r.sample(now, latency, sampleWeight)
+	bounded := latency
+	if r.served > 0 && r.estimate > 0 {
+		bounded = min(latency, identifier.Micros(outlierFactor*r.estimate))
+	}
+	r.sample(now, bounded, sampleWeight)
 	r.sampleFloor(now, latency)
 	r.served++
 	r.failures = 0
--- /dev/null
+++ b/pkg/declarer/declarer_test.go
@@ -0,0 +1,79 @@
+package declarer_test
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+func declaration() declarer.Declaration {
+	return declarer.Declaration{
+		Version: 3,
+		Routes: []declarer.Route{
+			{ID: "search", Hostname: "a.example", PathPrefix: "/s/", Timeout: 1, Shards: []identifier.ServiceID{"one", "two"}},
+			{ID: "archive", Hostname: "a.example", PathPrefix: "/a/", Timeout: 1, Targets: []declarer.Target{{"one", 1}, {"two", 3}}},
+		},
+		Services: []declarer.Service{{ID: "one"}, {ID: "two"}},
+	}
+}
+
+var _ = ginkgo.Describe("a declaration", func() {
+	for _, c := range []struct {
+		name   string
+		damage func(*declarer.Declaration)
+		reason string
+	}{
+		{"is valid as it is", func(*declarer.Declaration) {}, ""},
+		{"needs a version", func(d *declarer.Declaration) { d.Version = 0 }, "version"},
+		{"needs names of services", func(d *declarer.Declaration) { d.Services[0].ID = "" }, "no name"},
+		{"must not name an unknown shard", func(d *declarer.Declaration) { d.Routes[0].Shards[1] = "three" }, "not declared"},
+		{"must not name an unknown target", func(d *declarer.Declaration) { d.Routes[1].Targets[1].Service = "three" }, "not declared"},
+		{"must send a route somewhere", func(d *declarer.Declaration) { d.Routes[1].Targets = nil }, "names no service"},
+		{"needs weights above 0", func(d *declarer.Declaration) {
+			d.Routes[1].Targets[0].Weight, d.Routes[1].Targets[1].Weight = 0, 0
+		}, "add up to 0"},
+		{"has no negative weight", func(d *declarer.Declaration) { d.Routes[1].Targets[0].Weight = -1 }, "negative"},
+		{"needs timeouts", func(d *declarer.Declaration) { d.Routes[0].Timeout = 0 }, "timeout"},
+		{"has one route in a place", func(d *declarer.Declaration) { d.Routes[1].PathPrefix = "/s/" }, "same hostname"},
+	} {
+		ginkgo.It(c.name, func() {
+			d := declaration()
+			c.damage(&d)
+			err := d.Check()
+			if c.reason == "" {
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.reason)))
+		})
+	}
+
+	for _, c := range []struct {
+		name       string
+		held       *declarer.Declaration
+		supersedes bool
+	}{
+		{"supersedes none", nil, true},
+		{"supersedes a lower version", &declarer.Declaration{Version: 2}, true},
+		{"does not supersede its own version", &declarer.Declaration{Version: 3}, false},
+		{"does not supersede a higher version", &declarer.Declaration{Version: 4}, false},
+	} {
+		ginkgo.It(c.name, func() {
+			d := declaration()
+			gomega.Expect(d.Supersedes(c.held)).To(gomega.Equal(c.supersedes))
+		})
+	}
+
+	ginkgo.It("keeps the text of its source", func() {
+		text := make([]byte, 100000)
+		source, err := declarer.NewSource(3, text)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(len(source.Packed)).To(gomega.BeNumerically("<", len(text)/10))
+		gomega.Expect(source.Text()).To(gomega.Equal(text))
+		source.Packed = source.Packed[:len(source.Packed)/2]
+		_, err = source.Text()
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -172,8 +172,8 @@
 		Stamp   Stamp `msgpack:"t"`
 		// Announcements is where a control host takes announcements of backend servers.
 		Announcements identifier.Address `msgpack:"a"`
-		// Readers counts the entry hosts that follow a control host.
-		Readers int `msgpack:"r"`
+		// Readers are the entry hosts that follow a control host.
+		Readers []DomainCount `msgpack:"r"`
 	}
 )
 
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -29,10 +29,17 @@
 	// RosterMemory is how long a backend server that has left or fallen silent is
 	// remembered, so that late news of it is recognised.
 	RosterMemory = 60 * identifier.Second
+	// SharerMemory is how long the highest count of entry hosts is kept: a restart of a
+	// control host and of some entry hosts lies within it.
+	SharerMemory = 10 * identifier.Second
 	// ControlMemory is how long a control host that was heard of is still sent to.
 	ControlMemory = 60 * identifier.Second
 )
 
+// unknownSharers is assumed until a control host has counted the entry hosts: a host
+// that starts among many must not open the connections of all.
+var unknownSharers = Sharers{Near: 4, Far: 8}
+
 // Standing is what a control host knows about a backend server.
 type Standing uint8
 
@@ -74,7 +81,8 @@
 		Domain  identifier.DomainID `msgpack:"d"`
 		Held    RosterPosition      `msgpack:"p"`
 		Version identifier.Version  `msgpack:"v"`
-		// Serves is set by an entry host, which counts among those that share servers.
+		// Serves is set by an entry host that follows the control host, and so is counted there
+		// among those that share servers.
 		Serves bool `msgpack:"s"`
 	}
 	// RosterSent carries the changes of a control host's list.
@@ -88,7 +96,7 @@
 		// Controls are the control hosts that the sender knows.
 		Controls []router.Host `msgpack:"c"`
 		// Readers counts the entry hosts of the deployment.
-		Readers int `msgpack:"n"`
+		Readers []DomainCount `msgpack:"n"`
 		// InTouch is set while the sender is in touch with a quorum of the replicated log.
 		InTouch bool `msgpack:"i"`
 		// Learnt is set once the sender has had the time to hear of all servers.
@@ -114,6 +122,12 @@
 	}
 )
 
+// DomainCount is how many entry hosts a failure domain has.
+type DomainCount struct {
+	Domain identifier.DomainID `msgpack:"d"`
+	Count  int                 `msgpack:"c"`
+}
+
 // reader is an entry host that a control host tells of changes.
 type reader struct {
 	heard   identifier.Instant
@@ -130,7 +144,7 @@
 	revision  RosterRevision
 	readers   map[identifier.HostID]*reader
 	// elsewhere counts the readers of the other control hosts.
-	elsewhere map[identifier.HostID]int
+	elsewhere map[identifier.HostID][]DomainCount
 	// announcements is where the other control hosts take announcements.
 	announcements map[identifier.HostID]identifier.Address
 
@@ -141,8 +155,11 @@
 	// source is the control host that this entry host follows; empty while it looks for one.
 	source identifier.HostID
 	heard  identifier.Instant
-	// sharers counts the entry hosts, this one among them.
-	sharers int
+	// sharers counts the entry hosts by failure domain: the most that was heard of late,
+	// since a control host that has restarted hears of few at first.
+	sharers Sharers
+	// counted is when sharers was heard last.
+	counted identifier.Instant
 	held    *declarer.Declaration
 	routes  *matcher.Matcher
 }
@@ -157,11 +174,11 @@
 		servers:       map[identifier.ServerID]*Listed{},
 		addresses:     map[identifier.Address]identifier.ServerID{},
 		readers:       map[identifier.HostID]*reader{},
-		elsewhere:     map[identifier.HostID]int{},
+		elsewhere:     map[identifier.HostID][]DomainCount{},
 		announcements: map[identifier.HostID]identifier.Address{},
 		positions:     map[identifier.HostID]RosterPosition{},
 		controls:      map[identifier.HostID]knownControl{},
-		sharers:       1,
+		sharers:       unknownSharers,
 	}
 }
 
@@ -328,7 +345,7 @@
 }
 
 func (s *State) askRoster(id identifier.HostID) {
-	_, serves := s.parameters.Duty.(EntryDuty)
+	serves := id == s.control.roster.source
 	s.emit(Send{To: id, Event: RosterWanted{
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
@@ -345,11 +362,12 @@
 	}
 	known, ok := s.control.roster.readers[e.Host]
 	if !ok {
-		known = &reader{domain: e.Domain, serves: e.Serves}
+		known = &reader{domain: e.Domain}
 		s.control.roster.readers[e.Host] = known
 		s.log(MembershipSubsystem, Info, "host reads the server list", Field{"host", string(e.Host)})
 	}
 	known.heard = s.now
+	known.serves = e.Serves
 	known.held = e.Held
 	known.version = e.Version
 	s.sendRoster(e.Host, known)
@@ -394,25 +412,58 @@
 }
 
 // countReaders counts the entry hosts of the deployment, as far as this host knows.
-func (s *State) countReaders() int {
-	count := s.ownReaders()
-	for id, n := range s.control.roster.elsewhere {
-		if s.hears(id) {
-			count += n
+func (s *State) countReaders() []DomainCount {
+	counts := map[identifier.DomainID]int{}
+	for _, c := range s.ownReaders() {
+		counts[c.Domain] += c.Count
+	}
+	for id, list := range s.control.roster.elsewhere {
+		if !s.hears(id) {
+			continue
+		}
+		for _, c := range list {
+			counts[c.Domain] += c.Count
 		}
 	}
-	return count
+	return domainCounts(counts)
 }
 
 // ownReaders counts the entry hosts that follow this control host.
-func (s *State) ownReaders() int {
-	count := 0
+func (s *State) ownReaders() []DomainCount {
+	counts := map[identifier.DomainID]int{}
 	for _, known := range s.control.roster.readers {
 		if known.serves && s.now.Since(known.heard) < RosterSilence {
-			count++
+			counts[known.domain]++
 		}
 	}
-	return count
+	return domainCounts(counts)
+}
+
+func domainCounts(counts map[identifier.DomainID]int) []DomainCount {
+	var list []DomainCount
+	for _, d := range sortedKeys(counts) {
+		list = append(list, DomainCount{d, counts[d]})
+	}
+	return list
+}
+
+// Sharers counts the entry hosts that share the backend servers: those of the own
+// failure domain, this one among them, and the others.
+type Sharers struct {
+	Near, Far int
+}
+
+func (s *State) sharersOf(counts []DomainCount) Sharers {
+	var n Sharers
+	for _, c := range counts {
+		if c.Domain == s.parameters.Domain {
+			n.Near += c.Count
+			continue
+		}
+		n.Far += c.Count
+	}
+	n.Near = max(1, n.Near)
+	return n
 }
 
 // listServer takes a server's latest announcement into the list and tells the readers.
@@ -518,7 +569,11 @@
 	}
 	if r.source == e.From {
 		r.heard = s.now
-		r.sharers = max(1, e.Readers)
+		heard := s.sharersOf(e.Readers)
+		if s.now.Since(r.counted) > SharerMemory || (heard.Near >= r.sharers.Near && heard.Far >= r.sharers.Far) {
+			r.sharers = heard
+			r.counted = s.now
+		}
 		s.control.learnt = s.control.learnt || e.Whole || r.positions[e.From].Revision > 0
 	}
 	return r.sharers != before || s.control.learnt != learnt
@@ -634,8 +689,7 @@
 	Routes      *matcher.Matcher
 	Services    map[identifier.ServiceID]*declarer.Service
 	Backends    map[identifier.ServiceID][]Backend
-	// Sharers counts the entry hosts that share the servers.
-	Sharers int
+	Sharers     Sharers
 }
 
 // Backend is a backend server that may take work.
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -18,15 +18,16 @@
 	deadlineDivisor = 10
 	// ObjectiveMargin is the least time before the objective at which an answer leaves:
 	// a round trip to a client of the region.
-	ObjectiveMargin = 4 * identifier.Millisecond
+	ObjectiveMargin = 8 * identifier.Millisecond
 	// objectiveDivisor is the part of the objective that is kept back besides, for a busy processor.
-	objectiveDivisor = 12
+	objectiveDivisor = 25
 	// CancelGrace is how long the answer of a cancelled attempt may still come before its
 	// connection is closed: longer than a pause of a server, shorter than the half second
 	// in which work for a client that has left must end.
 	CancelGrace = 250 * identifier.Millisecond
-	// UnreadyRetryAfter is when a client may come back to a host that has no declaration.
-	UnreadyRetryAfter = 200 * identifier.Millisecond
+	// UnreadyRetryAfter is when a client may come back to a host that has no declaration: the
+	// time that control hosts need to elect a leader after all of them have restarted.
+	UnreadyRetryAfter = 1500 * identifier.Millisecond
 	// RefusedRetryAfter is when a client may come back after all servers refused its request.
 	RefusedRetryAfter = 100 * identifier.Millisecond
 	// ServerWait separates the looks for a server when none can be used.
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -16,19 +17,21 @@
 	extraPortion = 0.8
 	// connectionPortion is the part of a server's connections that hosts plan with: some are
 	// still closing, and hosts learn late of each other.
-	connectionPortion = 0.9
-	// stallFactor is how many times the usual latency a server may be silent before new work
-	// goes elsewhere.
+	connectionPortion = 0.95
+	// nearPortion is the part of these that hosts of the server's own failure domain share. The
+	// others need room for the hedges that a pause of their own server asks for at once.
+	nearPortion = 0.6
+	// stallFactor is how many times the usual latency of a slow service a server may be silent
+	// before new work goes elsewhere.
 	stallFactor = 3
-	// stallFloor is the least silence that counts as a stall.
-	stallFloor = 25 * identifier.Millisecond
 	// usualQuantile is the quantile of latencies that counts as usual.
 	usualQuantile = 0.95
 	// hedgeSlack is the time that a hedge is sent earlier than its usual latency asks for.
 	hedgeSlack = 4 * identifier.Millisecond
-	// pauseAllowance is the wait for one answer that is no sign of a slow server: servers
-	// pause now and then, which hedges make up for.
-	pauseAllowance = 250 * identifier.Millisecond
+	// pauseAllowance is the silence of a server with attempts in flight that is no sign of
+	// trouble: servers pause for a tenth of a second and more, and a hedge for the few requests
+	// that a pause would make late costs less than sending all of them elsewhere.
+	pauseAllowance = 60 * identifier.Millisecond
 	// misdirectionTerm is how long a server is left alone after another one answered at its address.
 	misdirectionTerm = 5 * identifier.Second
 )
@@ -41,6 +44,8 @@
 type watch struct {
 	open     map[identifier.AttemptID]identifier.Instant
 	answered identifier.Instant
+	// failures counts the attempts that failed since the last served one.
+	failures int
 	// misdirected is until when the server is known not to be at its address.
 	misdirected identifier.Instant
 }
@@ -132,7 +137,7 @@
 	}
 	s.emit(Exchange{
 		Attempt: id, Server: backend.Server, Address: backend.Address, Deadline: q.deadline,
-		Connections: s.connectionLimit(w.service), Fresh: !q.route.Repeatable, Content: q.Content,
+		Connections: s.connectionLimit(w.service, backend.Domain), Fresh: !q.route.Repeatable, Content: q.Content,
 	})
 	return true
 }
@@ -154,14 +159,20 @@
 	return true
 }
 
-// connectionLimit returns how many connections this host may hold to a server of the service.
-func (s *State) connectionLimit(id identifier.ServiceID) identifier.Connections {
+// connectionLimit returns how many connections this host may hold to a server of the
+// service. Most of a server's connections belong to the hosts of its own failure domain,
+// which send it most of its work.
+func (s *State) connectionLimit(id identifier.ServiceID, domain identifier.DomainID) identifier.Connections {
 	service, ok := s.traffic.view.Fleet.Services[id]
 	if !ok {
 		return 1
 	}
-	planned := float64(service.Connections) * connectionPortion / float64(s.traffic.view.Fleet.Sharers)
-	return max(1, identifier.Connections(planned))
+	planned := float64(service.Connections) * connectionPortion
+	sharers := s.traffic.view.Fleet.Sharers
+	if domain == s.parameters.Domain {
+		return max(1, identifier.Connections(math.Round(planned*nearPortion/float64(sharers.Near))))
+	}
+	return max(1, identifier.Connections(math.Round(planned*(1-nearPortion)/float64(max(1, sharers.Far)))))
 }
 
 // extra returns the budget of extra attempts to a service.
@@ -182,7 +193,7 @@
 	if !ok {
 		return 0
 	}
-	return max(1, float64(d.ExtraAttempts.Slack)*extraPortion/float64(s.traffic.view.Fleet.Sharers))
+	return max(1, float64(d.ExtraAttempts.Slack)*extraPortion/float64(s.traffic.view.Fleet.Sharers.Near+s.traffic.view.Fleet.Sharers.Far))
 }
 
 // extraShare is the share of an extra attempt that a first one earns.
@@ -224,7 +235,7 @@
 	if !ok || len(w.open) == 0 {
 		return false
 	}
-	return w.stalled(s.now, max(stallFloor, stallFactor*s.usualLatency(service)))
+	return w.stalled(s.now, max(pauseAllowance, stallFactor*s.usualLatency(service)))
 }
 
 // usualLatency returns the usual latency of a service's answers of any rank, in microseconds.
@@ -241,14 +252,13 @@
 func (s *State) collectBackends(q *request, w *piece, accept func(*Backend) bool) []chooser.Candidate {
 	candidates := s.traffic.candidates[:0]
 	d, _ := s.parameters.Duty.(EntryDuty)
-	limit := int(s.connectionLimit(w.service))
 	backends := s.traffic.view.Fleet.Backends[w.service]
 	for i := range backends {
 		b := &backends[i]
 		if slices.Contains(w.tried, b.Server) || slices.Contains(w.refused, b.Server) || !accept(b) {
 			continue
 		}
-		if known, ok := s.traffic.watches[b.Server]; ok && (known.misdirected > s.now || len(known.open) >= limit) {
+		if known, ok := s.traffic.watches[b.Server]; ok && (known.misdirected > s.now || len(known.open) >= int(s.connectionLimit(w.service, b.Domain))) {
 			continue
 		}
 		detour := identifier.Micros(0)
@@ -279,7 +289,7 @@
 	if usual == 0 {
 		usual = q.route.Objective / 3
 	}
-	at := max(a.sent.Add(usual), q.objective.Add(-usual-hedgeSlack))
+	at := max(a.sent.Add(usual), q.objective.Add(-usual*3/2-hedgeSlack))
 	if at >= q.deadline {
 		return identifier.Never
 	}
@@ -342,6 +352,16 @@
 	return q, a
 }
 
+// noteFailure takes in that an attempt failed. A single failure among served attempts
+// is no reason to leave a server alone, which would send its work to other domains.
+func (s *State) noteFailure(id identifier.ServerID) {
+	w := s.watch(id)
+	w.failures++
+	if w.failures > 1 {
+		s.traffic.chooser.Fail(s.now, id)
+	}
+}
+
 // takeAnswer handles a server's whole answer.
 func (s *State) takeAnswer(e ExchangeAnswered) {
 	q, a := s.endSending(e.Attempt)
@@ -353,8 +373,9 @@
 	if e.Answer.Success {
 		s.traffic.chooser.Serve(s.now, a.server, latency)
 		s.traffic.service(a.service).hedger.Observe(a.rank, latency)
+		s.watch(a.server).failures = 0
 	} else {
-		s.traffic.chooser.Fail(s.now, a.server)
+		s.noteFailure(a.server)
 	}
 	if q == nil {
 		return
@@ -398,7 +419,7 @@
 	if e.Reason == ExchangeMisdirected {
 		s.watch(a.server).misdirected = s.now.Add(misdirectionTerm)
 	}
-	s.traffic.chooser.Fail(s.now, a.server)
+	s.noteFailure(a.server)
 	if q == nil {
 		return
 	}
@@ -424,7 +445,7 @@
 		s.noteWait(a, s.now.Since(a.sent))
 		return
 	}
-	s.traffic.chooser.Fail(s.now, a.server)
+	s.noteFailure(a.server)
 	q.pieces[a.piece].ran, q.ran = true, true
 	s.logRequest(q, Info, "attempt lost", Field{"server", string(a.server)},
 		Field{"service", string(a.service)}, Field{"reason", e.Reason})
--- /dev/null
+++ b/pkg/splitter/splitter_suite_test.go
@@ -0,0 +1,13 @@
+package splitter_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestSplitter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "splitter")
+}
