pkg/reducer: gather far parts through hosts of other failure domains

Change: a host of the other domain gathers such parts and sends the merged records (PartsWanted, PartsCame), with attempts of the asker's own if it is late; control hosts push to their followers only, and say who else is there only when that changed; a server's estimate begins at what is usual for its service.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -48,6 +48,10 @@
 	reducer.RosterWanted{},
 	reducer.RosterSent{},
 	reducer.WithdrawalRelayed{},
+	reducer.ReadersTold{},
+	reducer.PartsWanted{},
+	reducer.PartsCame{},
+	reducer.PartsDropped{},
 }
 
 var tags = indexTags()
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -101,6 +101,12 @@
 	c.record(id).serve(now, latency)
 }
 
+// ServeAmong is Serve for a server whose service has a usual latency, in microseconds. It
+// suits hosts that send a server little work: a single slow answer tells less.
+func (c *Chooser) ServeAmong(now identifier.Instant, id identifier.ServerID, latency, usual identifier.Micros) {
+	c.record(id).serveAmong(now, latency, usual)
+}
+
 // Wait takes in that an attempt has not been served for a time, which is evidence
 // only if the time is above the estimate.
 func (c *Chooser) Wait(now identifier.Instant, id identifier.ServerID, elapsed identifier.Micros) {
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -9,10 +9,11 @@
 const (
 	// sampleWeight is the least weight of a new latency in the estimate.
 	sampleWeight = 0.05
-	// outlierFactor bounds a latency that is taken into the estimate, as a multiple of the
-	// estimate: one pause of a server delays many attempts, and a server that stays slow
-	// raises its estimate in a few samples all the same.
-	outlierFactor = 3
+	// outlierFactor bounds a latency that is taken into the estimate, as a multiple of what is
+	// usual for the service: one pause of a server delays many attempts.
+	outlierFactor = 8
+	// priorSamples is how many samples the usual latency of the service counts for.
+	priorSamples = 2
 	// waitWeight is the least weight of a wait in vain that is longer than the estimate.
 	// It is the larger, since each state must learn of a slow server from a few attempts.
 	waitWeight = 0.3
@@ -87,11 +88,25 @@
 }
 
 func (r *record) serve(now identifier.Instant, latency identifier.Micros) {
-	bounded := latency
-	if r.served > 0 && r.estimate > 0 {
-		bounded = min(latency, identifier.Micros(outlierFactor*r.estimate))
+	r.sample(now, latency, sampleWeight)
+	r.sampleFloor(now, latency)
+	r.served++
+	r.failures = 0
+	r.blockedUntil = 0
+}
+
+// serveAmong takes in a latency of a server whose service has a usual one. The server's
+// estimate begins there, and a sample counts the more the longer ago the last one was.
+func (r *record) serveAmong(now identifier.Instant, latency, usual identifier.Micros) {
+	least := 1 / float64(r.served+1+priorSamples)
+	if r.estimate == 0 {
+		r.estimate = float64(usual)
+		r.measured = now
 	}
-	r.sample(now, bounded, sampleWeight)
+	age := float64(now.Since(r.measured)) / float64(estimateHalfLife)
+	weight := max(sampleWeight, least, 1-math.Exp2(-age))
+	r.estimate += (float64(min(latency, outlierFactor*usual)) - r.estimate) * weight
+	r.measured = now
 	r.sampleFloor(now, latency)
 	r.served++
 	r.failures = 0
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -38,6 +38,8 @@
 	overloadFactor = 3
 	// overloadRefusals is the share of refused attempts that marks an overloaded service.
 	overloadRefusals = 0.05
+	// usualShare is the share of latencies that count as usual.
+	usualShare = 0.95
 	// refusalWeight is the weight of one outcome in the share of refusals.
 	refusalWeight = 1.0 / 64
 	// summaryInterval is how many latencies separate computations of the quantiles.
@@ -53,10 +55,10 @@
 	share  identifier.Ratio
 	high   identifier.Micros
 	median identifier.Micros
-	// usual is the quantile of usualShare, and stale how many latencies came since.
-	usual      identifier.Micros
-	usualShare identifier.Ratio
-	stale      int
+	// usual is a high quantile and middle the median, each at most six medians; stale is how
+	// many latencies came since they were computed.
+	usual, middle identifier.Micros
+	stale         int
 	// recent is the median of the latest summary, for the signs of overload.
 	recent identifier.Micros
 }
@@ -137,19 +139,19 @@
 	return max(MinDelay, min(r.high, medianFactor*r.median)), true
 }
 
-// Quantile returns the latency below which the share of the rank's latest attempts lies, in
-// microseconds, at most six medians; it is 0 while too few latencies are known.
-func (h *Hedger) Quantile(rank identifier.Rank, share identifier.Ratio) identifier.Micros {
+// Usual returns the median of the rank's latest latencies, and a latency that few of them
+// exceed, at most six medians; both in microseconds, and 0 while too few are known.
+func (h *Hedger) Usual(rank identifier.Rank) (median, high identifier.Micros) {
 	r := &h.ranks[rank]
 	if r.digest.total < minSamples {
-		return 0
+		return 0, 0
 	}
-	if r.usual == 0 || r.stale >= summaryInterval || r.usualShare != share {
+	if r.middle == 0 || r.stale >= summaryInterval {
 		r.stale = 0
-		r.usualShare = share
-		r.usual = min(r.digest.quantile(share), medianFactor*r.digest.quantile(0.5))
+		r.middle = r.digest.quantile(0.5)
+		r.usual = min(r.digest.quantile(usualShare), medianFactor*r.middle)
 	}
-	return r.usual
+	return r.middle, r.usual
 }
 
 // Spend takes a hedge of the rank from the budget; it reports false when the budget is spent
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -172,8 +172,6 @@
 		Stamp   Stamp `msgpack:"t"`
 		// Announcements is where a control host takes announcements of backend servers.
 		Announcements identifier.Address `msgpack:"a"`
-		// Readers are the entry hosts that follow a control host.
-		Readers []DomainCount `msgpack:"r"`
 	}
 )
 
@@ -366,6 +364,8 @@
 	switch e := event.(type) {
 	case AttemptSubmitted:
 		return AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: RefusedUnreachable}, true
+	case PartsWanted:
+		return PartsCame{Request: e.Request, Unsent: true, Ended: true}, true
 	}
 	return nil, false
 }
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -81,6 +84,8 @@
 		Domain  identifier.DomainID `msgpack:"d"`
 		Held    RosterPosition      `msgpack:"p"`
 		Version identifier.Version  `msgpack:"v"`
+		// Company is the digest of the company that the reader knows.
+		Company CompanyDigest `msgpack:"c"`
 		// Serves is set by an entry host that follows the control host, and so is counted there
 		// among those that share servers.
 		Serves bool `msgpack:"s"`
@@ -93,10 +98,8 @@
 		// Whole is set when the list is complete and replaces what was held.
 		Whole   bool     `msgpack:"w"`
 		Servers []Listed `msgpack:"s"`
-		// Controls are the control hosts that the sender knows.
-		Controls []router.Host `msgpack:"c"`
-		// Readers counts the entry hosts of the deployment.
-		Readers []DomainCount `msgpack:"n"`
+		// Company is set when it differs from what the reader knows.
+		Company *Company `msgpack:"c"`
 		// InTouch is set while the sender is in touch with a quorum of the replicated log.
 		InTouch bool `msgpack:"i"`
 		// Learnt is set once the sender has had the time to hear of all servers.
@@ -110,6 +113,12 @@
 		Ticket Ticket
 		Server identifier.ServerID
 	}
+	// ReadersTold tells the other control hosts which entry hosts follow the sender.
+	ReadersTold struct {
+		membershipEvent
+		From    identifier.HostID `msgpack:"f"`
+		Readers []router.Host     `msgpack:"r"`
+	}
 	// WithdrawalRelayed tells the other control hosts of a ServerWithdrawn.
 	WithdrawalRelayed struct {
 		membershipEvent
@@ -122,10 +131,30 @@
 	}
 )
 
-// DomainCount is how many entry hosts a failure domain has.
-type DomainCount struct {
-	Domain identifier.DomainID `msgpack:"d"`
-	Count  int                 `msgpack:"c"`
+// CompanyDigest is a 64-bit hash of a Company.
+type CompanyDigest uint64
+
+// Company is who else is in the deployment, as far as it concerns one reader.
+type Company struct {
+	// Controls are the control hosts.
+	Controls []router.Host `msgpack:"c"`
+	// Sharers counts the entry hosts.
+	Sharers Sharers `msgpack:"n"`
+	// Delegates are entry hosts of other failure domains that gather parts for the reader.
+	Delegates []router.Host `msgpack:"g"`
+}
+
+// digest hashes the company.
+func (c *Company) digest() CompanyDigest {
+	hash := xxhash.New()
+	for _, list := range [][]router.Host{c.Controls, c.Delegates} {
+		for _, h := range list {
+			// A digest never fails.
+			_, _ = hash.WriteString(string(h.ID) + "\x00" + string(h.Domain) + "\x01")
+		}
+	}
+	_, _ = hash.WriteString(strconv.Itoa(c.Sharers.Near) + "/" + strconv.Itoa(c.Sharers.Far))
+	return CompanyDigest(hash.Sum64())
 }
 
 // reader is an entry host that a control host tells of changes.
@@ -133,6 +162,7 @@
 	heard   identifier.Instant
 	held    RosterPosition
 	version identifier.Version
+	company CompanyDigest
 	domain  identifier.DomainID
 	serves  bool
 }
@@ -143,8 +173,13 @@
 	addresses map[identifier.Address]identifier.ServerID
 	revision  RosterRevision
 	readers   map[identifier.HostID]*reader
-	// elsewhere counts the readers of the other control hosts.
-	elsewhere map[identifier.HostID][]DomainCount
+	// followers are the readers of the other control hosts.
+	followers map[identifier.HostID][]router.Host
+	// told is what the other control hosts were told of this one's readers, and when.
+	told   []router.Host
+	toldAt identifier.Instant
+	// delegates are entry hosts of other failure domains that gather parts for this one.
+	delegates []router.Host
 	// announcements is where the other control hosts take announcements.
 	announcements map[identifier.HostID]identifier.Address
 
@@ -158,10 +193,13 @@
 	// sharers counts the entry hosts by failure domain: the most that was heard of late,
 	// since a control host that has restarted hears of few at first.
 	sharers Sharers
-	// counted is when sharers was heard last.
-	counted identifier.Instant
-	held    *declarer.Declaration
-	routes  *matcher.Matcher
+	// counted is when a count was heard last, which was heardSharers.
+	counted      identifier.Instant
+	heardSharers Sharers
+	// companies are the digests of what each control host told of the others.
+	companies map[identifier.HostID]CompanyDigest
+	held      *declarer.Declaration
+	routes    *matcher.Matcher
 }
 
 type knownControl struct {
@@ -174,7 +212,8 @@
 		servers:       map[identifier.ServerID]*Listed{},
 		addresses:     map[identifier.Address]identifier.ServerID{},
 		readers:       map[identifier.HostID]*reader{},
-		elsewhere:     map[identifier.HostID][]DomainCount{},
+		companies:     map[identifier.HostID]CompanyDigest{},
+		followers:     map[identifier.HostID][]router.Host{},
 		announcements: map[identifier.HostID]identifier.Address{},
 		positions:     map[identifier.HostID]RosterPosition{},
 		controls:      map[identifier.HostID]knownControl{},
@@ -302,7 +341,7 @@
 	for id, known := range r.controls {
 		if s.now.Since(known.heard) > ControlMemory && !slices.Contains(s.seeds(), id) {
 			delete(r.controls, id)
-			delete(r.elsewhere, id)
+			delete(r.followers, id)
 			delete(r.announcements, id)
 		}
 	}
@@ -323,6 +362,7 @@
 			s.askRosters()
 		}
 		s.publishControlStatus()
+		s.tellFollowers()
 		return
 	}
 	if r.source != "" && s.now.Since(r.heard) >= RosterSilence {
@@ -330,14 +370,29 @@
 			Field{"host", string(r.source)})
 		r.source = ""
 	}
+	s.forgetSharers()
 	if r.source != "" {
 		s.askRoster(r.source)
+		s.askNearer()
 		return
 	}
 	s.askRosters()
 	s.publishControlStatus()
 }
 
+// askNearer asks the control hosts of the own failure domain while this host follows
+// one of another domain.
+func (s *State) askNearer() {
+	if s.control.roster.controls[s.control.roster.source].host.Domain == s.parameters.Domain {
+		return
+	}
+	for _, h := range s.otherControls() {
+		if h.Domain == s.parameters.Domain {
+			s.askRoster(h.ID)
+		}
+	}
+}
+
 func (s *State) askRosters() {
 	for _, h := range s.otherControls() {
 		s.askRoster(h.ID)
@@ -351,6 +406,7 @@
 		Domain:  s.parameters.Domain,
 		Held:    s.control.roster.positions[id],
 		Version: s.control.version,
+		Company: s.control.roster.companies[id],
 		Serves:  serves,
 	}})
 }
@@ -370,6 +426,7 @@
 	known.serves = e.Serves
 	known.held = e.Held
 	known.version = e.Version
+	known.company = e.Company
 	s.sendRoster(e.Host, known)
 }
 
@@ -379,8 +436,6 @@
 	sent := RosterSent{
 		From:     s.parameters.Host,
 		Position: RosterPosition{Started: s.control.started, Revision: r.revision},
-		Controls: append(s.otherControls(), s.control.self),
-		Readers:  s.countReaders(),
 		InTouch:  s.inTouch(),
 		Learnt:   s.control.learnt,
 		Source:   s.control.replicated.source.newerThan(to.version),
@@ -390,6 +445,15 @@
 		sent.Whole = true
 		from = 0
 	}
+	company := Company{
+		Controls:  append(s.otherControls(), s.control.self),
+		Sharers:   s.sharersOf(to.domain),
+		Delegates: s.delegatesOf(id, to),
+	}
+	if digest := company.digest(); digest != to.company {
+		sent.Company = &company
+		to.company = digest
+	}
 	sent.Servers = r.since(from)
 	to.held = sent.Position
 	if sent.Source != nil {
@@ -398,12 +462,14 @@
 	s.emit(Send{To: id, Event: sent})
 }
 
-// tellReaders sends all readers heard of late what has changed.
+// tellReaders sends those that follow this host what has changed; others ask.
 func (s *State) tellReaders() {
 	for _, id := range sortedKeys(s.control.roster.readers) {
 		known := s.control.roster.readers[id]
 		if s.now.Since(known.heard) < ReaderSilence {
-			s.sendRoster(id, known)
+			if known.serves {
+				s.sendRoster(id, known)
+			}
 			continue
 		}
 		delete(s.control.roster.readers, id)
@@ -411,56 +477,22 @@
 	}
 }
 
-// countReaders counts the entry hosts of the deployment, as far as this host knows.
-func (s *State) countReaders() []DomainCount {
-	counts := map[identifier.DomainID]int{}
-	for _, c := range s.ownReaders() {
-		counts[c.Domain] += c.Count
-	}
-	for id, list := range s.control.roster.elsewhere {
-		if !s.hears(id) {
-			continue
-		}
-		for _, c := range list {
-			counts[c.Domain] += c.Count
-		}
-	}
-	return domainCounts(counts)
-}
-
-// ownReaders counts the entry hosts that follow this control host.
-func (s *State) ownReaders() []DomainCount {
-	counts := map[identifier.DomainID]int{}
-	for _, known := range s.control.roster.readers {
-		if known.serves && s.now.Since(known.heard) < RosterSilence {
-			counts[known.domain]++
-		}
-	}
-	return domainCounts(counts)
-}
-
-func domainCounts(counts map[identifier.DomainID]int) []DomainCount {
-	var list []DomainCount
-	for _, d := range sortedKeys(counts) {
-		list = append(list, DomainCount{d, counts[d]})
-	}
-	return list
-}
-
 // Sharers counts the entry hosts that share the backend servers: those of the own
 // failure domain, this one among them, and the others.
 type Sharers struct {
-	Near, Far int
+	Near int `msgpack:"n"`
+	Far  int `msgpack:"f"`
 }
 
-func (s *State) sharersOf(counts []DomainCount) Sharers {
+// sharersOf counts the entry hosts of the deployment as a host of the domain sees them.
+func (s *State) sharersOf(domain identifier.DomainID) Sharers {
 	var n Sharers
-	for _, c := range counts {
-		if c.Domain == s.parameters.Domain {
-			n.Near += c.Count
+	for _, h := range s.allReaders() {
+		if h.Domain == domain {
+			n.Near++
 			continue
 		}
-		n.Far += c.Count
+		n.Far++
 	}
 	n.Near = max(1, n.Near)
 	return n
@@ -524,9 +556,7 @@
 // hearRoster takes in the list of a control host.
 func (s *State) hearRoster(e RosterSent) {
 	r := &s.control.roster
-	for _, h := range e.Controls {
-		r.knowControl(s.now, h)
-	}
+	s.takeCompany(e)
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		s.learnRoster(e)
 		return
@@ -552,7 +582,7 @@
 // touch with its quorum, of its own failure domain if there is a choice.
 func (s *State) follow(e RosterSent) bool {
 	r := &s.control.roster
-	before, learnt := r.sharers, s.control.learnt
+	learnt := s.control.learnt
 	if !e.InTouch || !e.Learnt {
 		if r.source == e.From {
 			s.log(MembershipSubsystem, Warn, "control host is out of touch; looking for another",
@@ -569,14 +599,40 @@
 	}
 	if r.source == e.From {
 		r.heard = s.now
-		heard := s.sharersOf(e.Readers)
-		if s.now.Since(r.counted) > SharerMemory || (heard.Near >= r.sharers.Near && heard.Far >= r.sharers.Far) {
-			r.sharers = heard
-			r.counted = s.now
-		}
 		s.control.learnt = s.control.learnt || e.Whole || r.positions[e.From].Revision > 0
 	}
-	return r.sharers != before || s.control.learnt != learnt
+	return s.control.learnt != learnt
+}
+
+// takeCompany takes in who else is in the deployment. A count of entry hosts that has
+// fallen counts only after a while: a control host that has restarted hears of few at first.
+func (s *State) takeCompany(e RosterSent) {
+	r := &s.control.roster
+	if e.Company == nil {
+		return
+	}
+	r.companies[e.From] = e.Company.digest()
+	for _, h := range e.Company.Controls {
+		r.knowControl(s.now, h)
+	}
+	if _, ok := s.parameters.Duty.(EntryDuty); !ok || (r.source != "" && r.source != e.From) {
+		return
+	}
+	r.counted, r.heardSharers = s.now, e.Company.Sharers
+	r.sharers.Near = max(r.sharers.Near, r.heardSharers.Near)
+	r.sharers.Far = max(r.sharers.Far, r.heardSharers.Far)
+	r.delegates = e.Company.Delegates
+	s.publish()
+}
+
+// forgetSharers lowers the count of entry hosts to what was heard last, after a while.
+func (s *State) forgetSharers() {
+	r := &s.control.roster
+	if r.counted == 0 || r.sharers == r.heardSharers || s.now.Since(r.counted) < SharerMemory {
+		return
+	}
+	r.sharers = r.heardSharers
+	s.publish()
 }
 
 // takeServers merges the servers of a control host's list into this entry host's.
@@ -667,6 +723,7 @@
 		Services:    map[identifier.ServiceID]*declarer.Service{},
 		Backends:    map[identifier.ServiceID][]Backend{},
 		Sharers:     r.sharers,
+		Delegates:   r.delegates,
 	}
 	for i := range r.held.Services {
 		v.Services[r.held.Services[i].ID] = &r.held.Services[i]
@@ -690,6 +747,8 @@
 	Services    map[identifier.ServiceID]*declarer.Service
 	Backends    map[identifier.ServiceID][]Backend
 	Sharers     Sharers
+	// Delegates are entry hosts of other failure domains that gather parts for this one.
+	Delegates []router.Host
 }
 
 // Backend is a backend server that may take work.
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -59,6 +59,12 @@
 		s.takeRefusal(e)
 	case ExchangeLost:
 		s.takeLoss(e)
+	case PartsWanted:
+		s.acceptDelegated(e)
+	case PartsCame:
+		s.takeParts(e)
+	case PartsDropped:
+		s.dropDelegated(e)
 	}
 }
 
@@ -80,6 +86,7 @@
 	}
 	q := &request{
 		RequestArrived: e,
+		asker:          clientAsker{},
 		route:          route,
 		version:        fleet.Declaration.Version,
 		rank:           identifier.Rank(min(max(route.Priority, 0), identifier.RankCount-1)),
@@ -94,10 +101,18 @@
 	}
 	s.count(RequestsCounter, "", q.rank)
 	s.traffic.requests[e.Request] = q
+	s.delegate(q)
+	s.seekAll(q)
+	s.settleRequest(q)
+}
+
+// seekAll sends the first attempt for each piece that no other host gathers.
+func (s *State) seekAll(q *request) {
 	for i := range q.pieces {
-		s.seek(q, i, needed)
+		if q.pieces[i].open == 0 {
+			s.seek(q, i, needed)
+		}
 	}
-	s.settleRequest(q)
 }
 
 // divide returns the services that a request of the route is sent to.
@@ -119,7 +134,7 @@
 // declineAtOnce ends a request that no route can take.
 func (s *State) declineAtOnce(e RequestArrived, outcome Declined) {
 	s.count(RequestDeclinesCounter, "", 0)
-	s.log(RequestSubsystem, Info, "request declined", Field{"client-request", e.Client},
+	s.log(RequestSubsystem, Info, "request declined", Field{"client-request", e.Parcel.Client},
 		Field{"reason", string(outcome.Reason)}, versionField(s.traffic.view.Configuration))
 	s.emit(ReplyRequest{Request: e.Request, Outcome: outcome})
 }
@@ -148,6 +163,10 @@
 	if s.traffic.requests[q.Request] != q {
 		return
 	}
+	if a, ok := q.asker.(*hostAsker); ok {
+		s.settleDelegated(q, a)
+		return
+	}
 	complete := q.settled == len(q.pieces)
 	switch {
 	case complete, s.now >= q.deadline, s.now >= q.late && q.sufficient():
@@ -217,6 +236,9 @@
 			greatest.Add(a.Body)
 		}
 	}
+	for _, body := range q.batches {
+		greatest.Add(body)
+	}
 	gathered.Body = greatest.Merged()
 	return gathered
 }
@@ -267,6 +289,7 @@
 			s.cancelSending(q, i)
 		}
 	}
+	s.dropDelegations(q)
 }
 
 // armRequest schedules the next look at a request.
@@ -277,6 +300,11 @@
 			next = min(next, at)
 		}
 	}
+	for _, d := range q.delegations {
+		if d.open {
+			next = min(next, d.hedge)
+		}
+	}
 	for _, a := range q.attempts {
 		if a.open {
 			next = min(next, a.hedge)
@@ -294,7 +322,7 @@
 // logRequest writes a line about a request with what decides about it.
 func (s *State) logRequest(q *request, level LogLevel, message string, more ...Field) {
 	s.log(RequestSubsystem, level, message, append([]Field{
-		{"client-request", q.Client},
+		{"client-request", q.Parcel.Client},
 		{"route", string(q.route.ID)},
 		versionField(q.version),
 		{"elapsed-us", formatCount(int(s.now.Since(q.arrival)))},
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -161,6 +161,8 @@
 		s.withdraw(e)
 	case WithdrawalRelayed:
 		s.noteWithdrawal(e.Server)
+	case ReadersTold:
+		s.control.roster.followers[e.From] = e.Readers
 	case SeedsChanged:
 		s.changeSeeds(e)
 	}
@@ -206,7 +208,6 @@
 	s.syncCrashes(e.Host, known)
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		s.control.roster.knowControl(s.now, router.Host{ID: e.Host, Domain: e.Domain})
-		s.control.roster.elsewhere[e.Host] = e.Readers
 		s.control.roster.announcements[e.Host] = e.Announcements
 	}
 	s.control.heard[e.Host] = hostLease{
@@ -235,7 +236,6 @@
 	}
 	if d, ok := s.parameters.Duty.(ControlDuty); ok {
 		heartbeat.Announcements = d.Announcements
-		heartbeat.Readers = s.ownReaders()
 	}
 	s.tellHosts(heartbeat)
 	s.extendOwnership()
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -24,8 +24,6 @@
 	// stallFactor is how many times the usual latency of a slow service a server may be silent
 	// before new work goes elsewhere.
 	stallFactor = 3
-	// usualQuantile is the quantile of latencies that counts as usual.
-	usualQuantile = 0.95
 	// hedgeSlack is the time that a hedge is sent earlier than its usual latency asks for.
 	hedgeSlack = 4 * identifier.Millisecond
 	// pauseAllowance is the silence of a server with attempts in flight that is no sign of
@@ -115,7 +113,7 @@
 	if !s.affordArrival(q, w) {
 		return false
 	}
-	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Client)
+	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Parcel.Client)
 	a := &sending{
 		piece: index, service: w.service, server: backend.Server, rank: q.rank,
 		sent: s.now, hedge: identifier.Never, open: true, purpose: p,
@@ -137,7 +135,7 @@
 	}
 	s.emit(Exchange{
 		Attempt: id, Server: backend.Server, Address: backend.Address, Deadline: q.deadline,
-		Connections: s.connectionLimit(w.service, backend.Domain), Fresh: !q.route.Repeatable, Content: q.Content,
+		Connections: s.connectionLimit(w.service, backend.Domain), Fresh: !q.route.Repeatable, Parcel: q.Parcel,
 	})
 	return true
 }
@@ -242,7 +240,8 @@
 func (s *State) usualLatency(id identifier.ServiceID) identifier.Micros {
 	usual := identifier.Micros(0)
 	for r := range identifier.Rank(identifier.RankCount) {
-		usual = max(usual, s.traffic.service(id).hedger.Quantile(r, usualQuantile))
+		_, high := s.traffic.service(id).hedger.Usual(r)
+		usual = max(usual, high)
 	}
 	return usual
 }
@@ -285,19 +284,13 @@
 	if !q.route.Repeatable || len(q.pieces[a.piece].tried) > 0 {
 		return identifier.Never
 	}
-	usual := s.traffic.service(a.service).hedger.Quantile(q.rank, usualQuantile)
-	if usual == 0 {
-		usual = q.route.Objective / 3
-	}
-	at := max(a.sent.Add(usual), q.objective.Add(-usual*3/2-hedgeSlack))
-	if at >= q.deadline {
-		return identifier.Never
-	}
-	return at
+	_, usual := s.traffic.service(a.service).hedger.Usual(q.rank)
+	return s.hedgeAt(q, usual)
 }
 
 // hedgeOverdue sends second attempts beside those that are overdue.
 func (s *State) hedgeOverdue(q *request) {
+	s.hedgeDelegations(q)
 	for i := range q.attempts {
 		a := q.attempts[i]
 		if !a.open || a.hedge > s.now {
@@ -315,6 +308,18 @@
 	}
 }
 
+// hedgeAt returns when to hedge an attempt that is sent now and is usually answered within the span.
+func (s *State) hedgeAt(q *request, usual identifier.Micros) identifier.Instant {
+	if usual == 0 {
+		usual = q.route.Objective / 3
+	}
+	at := max(s.now.Add(usual), q.objective.Add(-usual*3/2-hedgeSlack))
+	if at >= q.deadline {
+		return identifier.Never
+	}
+	return at
+}
+
 // noteWait takes in that an attempt has waited in vain for longer than a pause lasts.
 func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
 	if elapsed > pauseAllowance {
@@ -352,6 +357,17 @@
 	return q, a
 }
 
+// measure takes in the latency of a served attempt.
+func (s *State) measure(a *sending, latency identifier.Micros) {
+	known := s.traffic.service(a.service)
+	known.hedger.Observe(a.rank, latency)
+	if usual, _ := known.hedger.Usual(a.rank); usual > 0 {
+		s.traffic.chooser.ServeAmong(s.now, a.server, latency, usual)
+		return
+	}
+	s.traffic.chooser.Serve(s.now, a.server, latency)
+}
+
 // noteFailure takes in that an attempt failed. A single failure among served attempts
 // is no reason to leave a server alone, which would send its work to other domains.
 func (s *State) noteFailure(id identifier.ServerID) {
@@ -371,8 +387,7 @@
 	latency := s.now.Since(a.sent)
 	s.watch(a.server).answered = s.now
 	if e.Answer.Success {
-		s.traffic.chooser.Serve(s.now, a.server, latency)
-		s.traffic.service(a.service).hedger.Observe(a.rank, latency)
+		s.measure(a, latency)
 		s.watch(a.server).failures = 0
 	} else {
 		s.noteFailure(a.server)
@@ -388,16 +403,22 @@
 		s.tryElsewhere(q, a.piece)
 		return
 	}
-	w.answer = &e.Answer
+	s.servePiece(q, a.piece, &e.Answer)
+	s.settleRequest(q)
+}
+
+// servePiece takes in the answer for a piece and cancels what else is in flight for it.
+func (s *State) servePiece(q *request, index int, answer *ServerAnswer) {
+	w := &q.pieces[index]
+	w.answer = answer
 	w.failure = nil
 	q.served++
-	s.settlePiece(q, a.piece)
+	s.settlePiece(q, index)
 	for i, other := range q.attempts {
-		if other.open && other.piece == a.piece {
+		if other.open && other.piece == index {
 			s.cancelSending(q, i)
 		}
 	}
-	s.settleRequest(q)
 }
 
 // unusable reports whether a part of a sharded answer lacks a signature of its own.
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -105,6 +105,7 @@
 		s.askAgain(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
 		s.control.unsynced[e.Host] = true
 		s.dropWorkOf(func(origin identifier.HostID) bool { return origin == e.Host })
+		s.loseDelegations(e.Host)
 	case FingerprintSuspected:
 		s.hearSuspect(e)
 	case FingerprintCrashed:
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -21,8 +21,19 @@
 func (requestEvent) isEvent()        {}
 func (requestEvent) isRequestEvent() {}
 
-// Content is what a request or an answer holds besides what decisions depend on.
-// Only the adapter that made it looks inside.
+// Parcel is what of a client's request is passed on to servers unchanged. Only the
+// adapter that packed it looks inside.
+type Parcel struct {
+	Method string `msgpack:"m"`
+	// Client is the client's own name for the request, which servers repeat in their answers.
+	Client string `msgpack:"c"`
+	// Head is what comes before the fields that are set for each attempt.
+	Head []byte `msgpack:"h"`
+	Body []byte `msgpack:"b"`
+}
+
+// Content is what an answer holds besides what decisions depend on. Only the adapter
+// that made it looks inside.
 type Content any
 
 // Request events.
@@ -30,14 +41,13 @@
 	// RequestArrived is a client's request, read in full.
 	RequestArrived struct {
 		requestEvent
-		// Request is unique on this host; Client is the client's own name for the request.
+		// Request is unique on this host.
 		Request identifier.RequestID
-		Client  string
 		// Hostname and Path select the route.
 		Hostname, Path string
 		// Remaining is how long the client waits, in microseconds; 0 is unknown.
 		Remaining identifier.Micros
-		Content   Content
+		Parcel    Parcel
 	}
 	// RequestAbandoned reports that the client has closed its connection.
 	RequestAbandoned struct {
@@ -129,8 +139,8 @@
 		// Connections is the most connections that this host may hold to the server.
 		Connections identifier.Connections
 		// Fresh asks for a connection on which the attempt can't be lost to an idle timeout.
-		Fresh   bool
-		Content Content
+		Fresh  bool
+		Parcel Parcel
 	}
 	// CancelExchange ends an attempt whose answer is no longer needed. The answer may
 	// still come within the grace, which keeps the connection.
@@ -195,6 +205,7 @@
 // request is one client's request in progress.
 type request struct {
 	RequestArrived
+	asker   asker
 	route   *declarer.Route
 	version identifier.Version
 	rank    identifier.Rank
@@ -205,6 +216,10 @@
 	pieces                    []piece
 	// attempts holds every attempt of the request; the index is the sequence less 1.
 	attempts []*sending
+	// delegations are the groups of pieces that other hosts gather, and batches the merged
+	// records that came of them.
+	delegations []*delegation
+	batches     [][]byte
 	// settled counts the pieces that nothing is awaited for; served, those with an answer.
 	settled, served int
 	// offered is set once an attempt was sent; ran, once one may have run.
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -48,6 +48,8 @@
 	// exchange has not ended, which may outlive the request.
 	requests map[identifier.RequestID]*request
 	sendings map[identifier.AttemptID]*sending
+	// delegates holds until when a host that gathers parts is left alone.
+	delegates map[identifier.HostID]identifier.Instant
 	// watches is what is known of the attempts in flight, by server.
 	watches map[identifier.ServerID]*watch
 	// extras are the budgets of extra attempts.
@@ -78,6 +80,7 @@
 
 		requests:  map[identifier.RequestID]*request{},
 		sendings:  map[identifier.AttemptID]*sending{},
+		delegates: map[identifier.HostID]identifier.Instant{},
 		watches:   map[identifier.ServerID]*watch{},
 		extras:    map[identifier.ServiceID]*throttler.Throttler{},
 		splitters: map[declarer.RouteID]*splitter.Splitter{},
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -10,6 +10,9 @@
 package router
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -39,10 +42,40 @@
 		if !eligible(h) {
 			continue
 		}
-		weight := xxhash.Sum64String(string(h.ID) + "\x00" + string(server))
-		if !found || weight > best || (weight == best && h.ID < owner) {
-			owner, best, found = h.ID, weight, true
+		w := weight(h.ID, string(server))
+		if !found || w > best || (w == best && h.ID < owner) {
+			owner, best, found = h.ID, w, true
 		}
 	}
 	return owner, found
 }
+
+// Beyond returns the hosts of other failure domains that a host works with, the given
+// number of each domain: those of the highest hashes with its id, so that hosts spread
+// evenly over them, in order of id.
+func Beyond(id identifier.HostID, domain identifier.DomainID, hosts []Host, count int) []Host {
+	remaining := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Domain == domain })
+	var chosen []Host
+	for _, h := range remaining {
+		ahead := 0
+		for _, other := range remaining {
+			if other.Domain == h.Domain && weighsMore(other, h, string(id)) {
+				ahead++
+			}
+		}
+		if ahead < count {
+			chosen = append(chosen, h)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return chosen
+}
+
+func weighsMore(a, b Host, key string) bool {
+	x, y := weight(a.ID, key), weight(b.ID, key)
+	return x > y || (x == y && a.ID < b.ID)
+}
+
+func weight(host identifier.HostID, key string) uint64 {
+	return xxhash.Sum64String(string(host) + "\x00" + key)
+}
