pkg/reducer: serve at once after all control hosts have restarted

Cause: after a final fault entry hosts refused for 2 s: they dialled hosts without power for a second, the first election took 1.2 s, and the server list was learnt anew. Ruled out: the entry hosts' own start (30 ms) and reading the log (5 ms). Change: control hosts store the list and the committed declaration aside and offer both at once; a replica that has heard no leader since its start seeks to lead after 200 ms; dials end after 300 ms; the count of sharers is kept for 3 s.

--- a/internal/encoder/record.go
+++ b/internal/encoder/record.go
@@ -46,6 +46,20 @@
 	return s, nil
 }
 
+// EncodeRoster returns the bytes of a RosterSnapshot.
+func EncodeRoster(snapshot reducer.RosterSnapshot) ([]byte, error) {
+	return encodeDocument(snapshot)
+}
+
+// DecodeRoster returns the list of the bytes, or an error for malformed ones.
+func DecodeRoster(data []byte) (reducer.RosterSnapshot, error) {
+	var snapshot reducer.RosterSnapshot
+	if err := msgpack.Unmarshal(data, &snapshot); err != nil {
+		return reducer.RosterSnapshot{}, fmt.Errorf("encoder: decode roster: %w", err)
+	}
+	return snapshot, nil
+}
+
 func encodeDocument(document any) ([]byte, error) {
 	var buffer bytes.Buffer
 	e := msgpack.NewEncoder(&buffer)
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -31,6 +31,8 @@
 		h.cancelCall(e.Attempt)
 	case reducer.StoreRecords:
 		h.stores.put(e)
+	case reducer.StoreRoster:
+		h.rosters.put(e)
 	case reducer.ReplyOperator:
 		h.operators.answer(e.Ticket, e)
 	case reducer.Exchange:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -74,7 +74,9 @@
 	Counters  Counters
 	Loggers   Loggers
 	// Storage and Recovered give the host the control role; both are nil without it.
-	Storage   Storage
+	Storage Storage
+	// Rosters stores the list of backend servers; nil without the control role.
+	Rosters   RosterStorage
 	Recovered *reducer.LogRecovered
 }
 
@@ -109,6 +111,8 @@
 	stopping  atomic.Bool
 	// stores holds what the storage goroutine is to store.
 	stores *mailbox[reducer.StoreRecords]
+	// rosters holds the lists of backend servers to store; the last one counts.
+	rosters *mailbox[reducer.StoreRoster]
 
 	// mutex guards calls, the calls in flight.
 	mutex sync.Mutex
@@ -129,6 +133,7 @@
 		operators:    newWaiters[reducer.Ticket, reducer.ReplyOperator](),
 		requests:     newWaiters[identifier.RequestID, reducer.RequestOutcome](),
 		stores:       newMailbox[reducer.StoreRecords](),
+		rosters:      newMailbox[reducer.StoreRoster](),
 		calls:        map[identifier.AttemptID]flight{},
 	}
 	h.view.Store(&reducer.View{})
--- a/internal/executor/storage.go
+++ b/internal/executor/storage.go
@@ -11,6 +11,22 @@
 	Store(records []replicator.Record) error
 }
 
+// RosterStorage stores the list of backend servers, in place of the one before.
+type RosterStorage interface {
+	StoreRoster(snapshot reducer.RosterSnapshot) error
+}
+
+// storeRoster stores the last list that was put; a failure costs only a slower restart.
+func (h *Host) storeRoster() {
+	batch := h.rosters.take()
+	if len(batch) == 0 || h.dependencies.Rosters == nil {
+		return
+	}
+	if err := h.dependencies.Rosters.StoreRoster(batch[len(batch)-1].Snapshot); err != nil {
+		h.dependencies.Loggers.Logger(reducer.MembershipSubsystem).Warn("server list not stored", "error", err)
+	}
+}
+
 // storeLoop stores what the control state gives out, on a goroutine of its own,
 // and reports each batch as an event. What queues up during one sync is stored
 // with the next.
@@ -20,6 +36,9 @@
 		select {
 		case <-h.context.Done():
 			return
+		case <-h.rosters.signal:
+			h.storeRoster()
+			continue
 		case <-h.stores.signal:
 		}
 		batch := h.stores.take()
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -26,6 +26,8 @@
 	storer *storer.Storer
 	// Repaired is how many bytes of a write that never finished were removed at the start.
 	Repaired identifier.Bytes
+	// Roster says why the stored list of backend servers is not used; nil if it is or there is none.
+	Roster error
 }
 
 // Open opens a data folder and returns what it holds as the event that gives a
@@ -42,7 +44,29 @@
 		return nil, reducer.LogRecovered{}, fmt.Errorf("journaler: %s: %w", p.Folder, err)
 	}
 	j := &Journaler{storer: s, Repaired: contents.Repaired}
-	return j, reducer.LogRecovered{Replica: contents.Replica, Stored: stored}, nil
+	recovered := reducer.LogRecovered{Replica: contents.Replica, Stored: stored}
+	recovered.Roster, j.Roster = j.loadRoster()
+	return j, recovered, nil
+}
+
+// rosterName names the list of backend servers in the data folder.
+const rosterName = "roster"
+
+func (j *Journaler) loadRoster() (reducer.RosterSnapshot, error) {
+	data, err := j.storer.LoadAside(rosterName)
+	if err != nil || data == nil {
+		return reducer.RosterSnapshot{}, err
+	}
+	return encoder.DecodeRoster(data)
+}
+
+// StoreRoster stores the list of backend servers in place of the one before.
+func (j *Journaler) StoreRoster(snapshot reducer.RosterSnapshot) error {
+	data, err := encoder.EncodeRoster(snapshot)
+	if err != nil {
+		return err
+	}
+	return j.storer.SaveAside(rosterName, data)
 }
 
 func rebuild(c storer.Contents) (replicator.Recovered[reducer.ControlSnapshot], error) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -40,8 +40,9 @@
 	maxFrame = 16 << 20
 	// queueLength bounds the frames that wait for one peer; more come back as undeliverable.
 	queueLength = 4096
-	// dialTimeout bounds the time to connect to a peer.
-	dialTimeout = time.Second
+	// dialTimeout bounds the time to connect to a peer: several round trips between regions. A
+	// host without power answers nothing, and is dialled again when it may be back.
+	dialTimeout = 300 * time.Millisecond
 	// redialDelay separates the attempts to connect to a peer.
 	redialDelay = 100 * time.Millisecond
 	// writeTimeout bounds the time to write a batch of frames.
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -15,7 +15,7 @@
 	DelegatesPerDomain = 2
 	// leastDelegated is the least number of pieces worth a host in between: below, the bytes
 	// saved are fewer than those of the messages.
-	leastDelegated = 3
+	leastDelegated = 6
 	// DelegateWay is the time kept back for the messages to a host in another failure
 	// domain and back.
 	DelegateWay = 6 * identifier.Millisecond
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -29,12 +29,18 @@
 	// RosterLearningSpan is how long a control host that has started hears of backend
 	// servers before it may say that one is gone.
 	RosterLearningSpan = 3 * identifier.Second
+	// UnfollowedInterval separates the questions of an entry host that follows no control
+	// host: it serves nobody, or by an old list.
+	UnfollowedInterval = 100 * identifier.Millisecond
+	// RosterStoreInterval separates the writes of the list to the disk. What is younger is lost
+	// with a restart of all control hosts, until the servers announce themselves again.
+	RosterStoreInterval = 2 * identifier.Second
 	// RosterMemory is how long a backend server that has left or fallen silent is
 	// remembered, so that late news of it is recognised.
 	RosterMemory = 60 * identifier.Second
 	// SharerMemory is how long the highest count of entry hosts is kept: a restart of a
 	// control host and of some entry hosts lies within it.
-	SharerMemory = 10 * identifier.Second
+	SharerMemory = 3 * identifier.Second
 	// ControlMemory is how long a control host that was heard of is still sent to.
 	ControlMemory = 60 * identifier.Second
 )
@@ -198,8 +204,12 @@
 	heardSharers Sharers
 	// companies are the digests of what each control host told of the others.
 	companies map[identifier.HostID]CompanyDigest
-	held      *declarer.Declaration
-	routes    *matcher.Matcher
+	// stored and storedVersion are what the snapshot on the disk holds, written at storedAt.
+	stored        RosterRevision
+	storedVersion identifier.Version
+	storedAt      identifier.Instant
+	held          *declarer.Declaration
+	routes        *matcher.Matcher
 }
 
 type knownControl struct {
@@ -353,7 +363,11 @@
 func (s *State) readRosters() {
 	r := &s.control.roster
 	s.forgetControls()
-	s.schedule(s.now.Add(RosterInterval), rosterDue{})
+	interval := RosterInterval
+	if _, ok := s.parameters.Duty.(EntryDuty); ok && r.source == "" {
+		interval = UnfollowedInterval
+	}
+	s.schedule(s.now.Add(interval), rosterDue{})
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		if log := s.control.replication.log; log != nil {
 			log.Contact(s.controlHosts())
@@ -363,6 +377,7 @@
 		}
 		s.publishControlStatus()
 		s.tellFollowers()
+		s.storeRoster()
 		return
 	}
 	if r.source != "" && s.now.Since(r.heard) >= RosterSilence {
@@ -393,6 +408,50 @@
 	}
 }
 
+// RosterSnapshot is what a control host that restarts can tell its readers at once, before
+// a leader is elected and the servers have announced themselves.
+type RosterSnapshot struct {
+	Servers []Listed `msgpack:"s"`
+	// Source is a declaration that was committed; its version is 0 when there is none.
+	Source declarer.Source `msgpack:"d"`
+}
+
+// StoreRoster asks for a snapshot to be stored in place of the one before. It need not
+// survive: without it the host has to wait for a leader and for the servers.
+type StoreRoster struct {
+	effect
+	Snapshot RosterSnapshot
+}
+
+// storeRoster stores the list and the declaration if they have changed.
+func (s *State) storeRoster() {
+	r := &s.control.roster
+	source := s.control.replicated.source.Source
+	changed := r.revision != r.stored || source.Version != r.storedVersion
+	if !changed || s.now.Since(r.storedAt) < RosterStoreInterval || s.control.replication.log == nil {
+		return
+	}
+	r.stored, r.storedVersion, r.storedAt = r.revision, source.Version, s.now
+	s.emit(StoreRoster{Snapshot: RosterSnapshot{Servers: r.since(0), Source: source}})
+}
+
+// restoreRoster takes in what was stored before this host started. Servers that are gone
+// by now fall silent after a lease. The declaration was committed, so that the log leads to it
+// or to a newer one.
+func (s *State) restoreRoster(stored RosterSnapshot) {
+	if stored.Source.Version > s.control.replicated.source.Version {
+		s.control.replicated.source = declared{stored.Source}
+		s.adoptDeclaration()
+	}
+	for _, l := range stored.Servers {
+		if l.Standing == Present {
+			s.hearServer(s.now, l.Announcement)
+			continue
+		}
+		s.control.roster.note(s.now, l.Announcement, l.Standing)
+	}
+}
+
 func (s *State) askRosters() {
 	for _, h := range s.otherControls() {
 		s.askRoster(h.ID)
@@ -578,12 +637,12 @@
 	}
 }
 
-// follow notes the control host whose word this entry host takes: one that is in
-// touch with its quorum, of its own failure domain if there is a choice.
+// follow notes the control host whose word this entry host takes: one that is in touch with
+// its quorum and knows servers, of its own failure domain if there is a choice.
 func (s *State) follow(e RosterSent) bool {
 	r := &s.control.roster
 	learnt := s.control.learnt
-	if !e.InTouch || !e.Learnt {
+	if !e.InTouch || (!e.Learnt && len(r.servers) == 0) {
 		if r.source == e.From {
 			s.log(MembershipSubsystem, Warn, "control host is out of touch; looking for another",
 				Field{"host", string(e.From)})
--- a/pkg/reducer/replication.go
+++ b/pkg/reducer/replication.go
@@ -33,6 +33,8 @@
 		// Replica is the identity of the data folder.
 		Replica identifier.ReplicaID
 		Stored  replicator.Recovered[ControlSnapshot]
+		// Roster is what was stored last for readers of the server list; it may be old.
+		Roster RosterSnapshot
 	}
 	// RecordsStored reports that all records up to the sequence are synced.
 	RecordsStored struct {
@@ -112,6 +114,7 @@
 		},
 	}, NoCommand{})
 	s.control.replication.log.Recover(s.now, e.Stored)
+	s.restoreRoster(e.Roster)
 }
 
 // founded reports whether the deployment has a replicated log that an empty disk may only join.
--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -14,6 +14,7 @@
 	r.follow(e.Term)
 	r.leader = e.From
 	r.leaderHeard = r.now
+	r.everHeard = true
 	r.postponeElection()
 	return true
 }
--- a/pkg/replicator/leadership.go
+++ b/pkg/replicator/leadership.go
@@ -32,6 +32,7 @@
 func (r *Replicator[C, S]) beginLeadership() {
 	r.role = leader
 	r.leader = r.parameters.Self
+	r.everHeard = true
 	r.leading = leadership{progress: map[identifier.ReplicaID]*progress{}, first: r.log.last() + 1}
 	r.trackMembers()
 	r.lead(Proposal[C]{Command: r.noop})
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -15,6 +15,9 @@
 	// the silence of a quorum after which a leader steps down. Each wait of a follower
 	// is drawn from one to two times it.
 	ElectionTimeout = 600 * identifier.Millisecond
+	// StartElectionTimeout takes its place on a replica that has heard no leader since it
+	// started: all may have restarted, and voters that hear a leader vote for nobody.
+	StartElectionTimeout = 200 * identifier.Millisecond
 	// ProbeInterval separates the probes of a replica that is no voter and hears no leader.
 	ProbeInterval = 200 * identifier.Millisecond
 	// LearnerTimeout is the silence after which a learner is removed.
@@ -70,6 +73,8 @@
 	hard        HardState
 	leader      Peer
 	leaderHeard identifier.Instant
+	// everHeard is set once a leader was heard since the start.
+	everHeard   bool
 	electionDue identifier.Instant
 	votes       map[identifier.ReplicaID]bool
 
@@ -288,6 +293,10 @@
 
 // postponeElection draws the next instant at which this replica seeks to lead.
 func (r *Replicator[C, S]) postponeElection() {
-	extra := identifier.Micros(r.random.Int64N(int64(ElectionTimeout)))
-	r.electionDue = r.now.Add(ElectionTimeout + extra)
+	timeout := ElectionTimeout
+	if !r.everHeard {
+		timeout = StartElectionTimeout
+	}
+	extra := identifier.Micros(r.random.Int64N(int64(timeout)))
+	r.electionDue = r.now.Add(timeout + extra)
 }
