pkg/replicator: let a host that joins replace a silent voter

Cause: a control host that took a lost one's place at another address was promoted before the lost one counted as silent: four voters with one gone for good, so that the next loss took the quorum. Found by the fleet's test in virtual time. Ruled out: probes that don't reach the leader (it joined 0.6 s after the loss). Change: a learner waits while a voter has not answered, and replaces it after 3 s of silence.

--- a/pkg/replicator/leadership.go
+++ b/pkg/replicator/leadership.go
@@ -24,7 +24,10 @@
 	// next is the index to send next.
 	next  identifier.LogIndex
 	heard identifier.Instant
-	round Round
+	// answered is set once the member has answered this leader; until then heard is when
+	// the leader began to send to it.
+	answered bool
+	round    Round
 	// snapshotDue is the earliest instant to send a snapshot again.
 	snapshotDue identifier.Instant
 }
@@ -126,6 +129,7 @@
 		return
 	}
 	p.heard = r.now
+	p.answered = true
 	p.round = max(p.round, m.Round)
 	if m.Rejected {
 		r.retreat(e.From, p, m.Hint)
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -149,8 +149,11 @@
 				return
 			}
 		}
-		if silent, ok := r.silentVoter(); ok {
-			r.replaceVoter(silent)
+		if quiet, ok := r.quietVoter(); ok {
+			// It is back soon, or the learner takes its place.
+			if r.now.Since(r.leading.progress[quiet.Replica].heard) >= SilentVoterTimeout {
+				r.replaceVoter(quiet)
+			}
 			return
 		}
 		x.Voter = true
@@ -159,14 +162,14 @@
 	}
 }
 
-// silentVoter returns a voter that a host which has joined may replace.
-func (r *Replicator[C, S]) silentVoter() (Member, bool) {
+// quietVoter returns a voter that has not answered of late, where hosts that join may replace one.
+func (r *Replicator[C, S]) quietVoter() (Member, bool) {
 	if !r.parameters.Open {
 		return Member{}, false
 	}
 	for _, x := range r.Members() {
 		p, ok := r.leading.progress[x.Replica]
-		if ok && x.Voter && r.now.Since(p.heard) >= SilentVoterTimeout && r.inTouch(r.Members().without(x.Replica)) {
+		if ok && x.Voter && (!p.answered || r.now.Since(p.heard) >= ElectionTimeout) {
 			return x, true
 		}
 	}
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -23,9 +23,9 @@
 	// LearnerTimeout is the silence after which a learner is removed.
 	LearnerTimeout = 10 * identifier.Second
 	// SilentVoterTimeout is the silence after which a voter is removed when a host that has
-	// joined can take its place. It is longer than a restart or a short cut, and a host
-	// that was only cut off joins again.
-	SilentVoterTimeout = 5 * identifier.Second
+	// joined can take its place: longer than a restart, and short enough that the group bears
+	// another loss 4 s after a successor has started. A host that was only cut off joins again.
+	SilentVoterTimeout = 3 * identifier.Second
 	// SnapshotRetryInterval separates the sendings of a snapshot to one follower.
 	SnapshotRetryInterval = 2 * identifier.Second
 	// MaxBatch bounds the entries of one message.
