--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -55,7 +56,7 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	output := c.streams.Output
+	var output io.Writer = c.streams.Output
 	var customers loader.CustomersFile
 	if settings.Fleet == nil {
 		output = c.streams.Errors
@@ -63,7 +64,9 @@
 			return c.streams.fail(err)
 		}
 	}
-	loggers, err := logger.New(output, logger.Parameters{
+	writer := logger.NewWriter(output)
+	defer writer.Close()
+	loggers, err := logger.New(writer, logger.Parameters{
 		Level: settings.Logs.Level, Subsystems: settings.Logs.Subsystems, JSON: settings.Logs.JSON,
 	})
 	if err != nil {
--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/lagooncleat/lagooncleat/internal/encoder"
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/deduplicator"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
@@ -26,6 +27,20 @@
 			{Renewal: leaser.Renewal{Server: "s-1", Incarnation: 1, Sequence: 300, Digest: 1 << 63}, Age: -5},
 		}},
 		reducer.AnnouncementsWanted{Host: "h-1", Servers: []identifier.ServerID{"s-1"}},
+		reducer.RosterSent{
+			From: "h-1", Position: reducer.RosterPosition{Started: 1, Revision: 300}, Whole: true, InTouch: true,
+			Servers: []reducer.Listed{{Announcement: leaser.Announcement{Server: "s-1"}, Standing: reducer.Silent, Revision: 2}},
+			Company: &reducer.Company{Sharers: reducer.Sharers{Near: 2, Far: 4}},
+			Source:  &declarer.Source{Version: 7, Packed: []byte("x")},
+		},
+		reducer.RosterWanted{Host: "h-1", Version: 7, Serves: true},
+		reducer.ReadersTold{From: "h-1"},
+		reducer.WithdrawalRelayed{Server: "s-1"},
+		reducer.PartsWanted{From: "h-1", Request: "q", Services: []identifier.ServiceID{"a"}, Parcel: reducer.Parcel{Head: []byte("x")}},
+		reducer.PartsCame{From: "h-1", Request: "q", Parts: []reducer.DelegatedPart{{Service: "a", Signature: "s"}}, Body: []byte("1")},
+		reducer.PartsDropped{From: "h-1", Request: "q"},
+		proposal(reducer.ConfigurationDeclared{Source: declarer.Source{Version: 9, Packed: []byte("x")}}),
+		answer(reducer.DeclarationFound{Version: 9}),
 		reducer.ServerRelayed{From: "h-1", Stamp: reducer.Stamp{Sent: identifier.Instant(identifier.Second)}},
 	}
 	for _, s := range seeds {
--- /dev/null
+++ b/internal/loader/fleet_test.go
@@ -0,0 +1,78 @@
+package loader_test
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+const entrySettings = `host: 10.0.0.1:70
+failure-domain: fd-1
+listen:
+  callers: 10.0.0.1:80
+  readiness: 10.0.0.1:81
+  operators: 10.0.0.1:71
+  peers: 10.0.0.1:70
+fleet:
+  duty: entry
+  seeds: [10.0.0.9:90,10.0.0.8:90,10.0.0.9:90]
+  peer-port: 70
+  extra-attempts: {share: 0.2, slack: 52}
+`
+
+const controlSettings = `host: 10.0.0.1:70
+failure-domain: fd-1
+listen:
+  backend-servers: 10.0.0.1:90
+  operators: 10.0.0.1:71
+  peers: 10.0.0.1:70
+control:
+  data-folder: /data
+fleet:
+  duty: control
+  seeds: [10.0.0.9:90]
+  peer-port: 70
+  announcement-interval-ms: 1200
+`
+
+var _ = ginkgo.Describe("the settings of a host of a fleet", func() {
+	for _, c := range []struct {
+		name, text, old, with, fault string
+	}{
+		{"of an entry host are valid", entrySettings, "", "", ""},
+		{"of a control host are valid", controlSettings, "", "", ""},
+		{"need a duty", entrySettings, "duty: entry", "duty: both", ":9: fleet.duty"},
+		{"need seeds", entrySettings, "seeds: [10.0.0.9:90,10.0.0.8:90,10.0.0.9:90]", "seeds: []", ":10: fleet.seeds"},
+		{"need seeds that are addresses", entrySettings, "10.0.0.8:90", "control", ":10: fleet.seeds[1]"},
+		{"need a port for peers", entrySettings, "peer-port: 70", "peer-port: 0", ":11: fleet.peer-port"},
+		{"need an address for clients", entrySettings, "  callers: 10.0.0.1:80\n", "", "listen.callers"},
+		{"need an address for the balancer", entrySettings, "  readiness: 10.0.0.1:81\n", "", "listen.readiness"},
+		{"need a data folder for control", controlSettings, "/data", `""`, "control.data-folder"},
+		{"need the interval of announcements for control", controlSettings, "ms: 1200", "ms: 0", "fleet.announcement-interval-ms"},
+		{"must not hold negative bounds", entrySettings, "slack: 52", "slack: -1", ":8: fleet"},
+	} {
+		ginkgo.It(c.name, func() {
+			file := write(strings.Replace(c.text, c.old, c.with, 1))
+			s, err := loader.LoadSettings(file)
+			if c.fault == "" {
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(s.Fleet.SeedHosts()).NotTo(gomega.BeEmpty())
+				return
+			}
+			var faults *loader.FaultsError
+			gomega.Expect(errors.As(err, &faults)).To(gomega.BeTrue())
+			gomega.Expect(err.Error()).To(gomega.ContainSubstring(c.fault))
+		})
+	}
+
+	ginkgo.It("name the seeds as hosts, each once and in order", func() {
+		s, err := loader.LoadSettings(write(entrySettings))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.Fleet.SeedHosts()).To(gomega.Equal([]identifier.HostID{"10.0.0.8:70", "10.0.0.9:70"}))
+	})
+})
--- /dev/null
+++ b/internal/logger/writer_test.go
@@ -0,0 +1,66 @@
+package logger_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/logger"
+)
+
+func TestLogger(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "logger")
+}
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	buffer  bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.buffer.Write(p)
+}
+
+var _ = ginkgo.Describe("the log writer", func() {
+	for _, c := range []struct {
+		name  string
+		lines int
+		// bounded is set when some lines are to be dropped.
+		bounded bool
+	}{
+		{"writes all lines in order", 50, false},
+		{"drops what is too much, and says so", 5000, true},
+	} {
+		ginkgo.It(c.name+", and never blocks", func() {
+			output := &blocked{release: make(chan struct{})}
+			w := logger.NewWriter(output)
+			start := time.Now()
+			for i := range c.lines {
+				fmt.Fprintf(w, "line %d\n", i)
+			}
+			gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+			close(output.release)
+			time.Sleep(1100 * time.Millisecond)
+			fmt.Fprintln(w, "the last")
+			w.Close()
+			lines := strings.Split(strings.TrimSpace(output.buffer.String()), "\n")
+			gomega.Expect(lines).To(gomega.ContainElement("line 0"))
+			gomega.Expect(lines[len(lines)-1]).To(gomega.Equal("the last"))
+			if !c.bounded {
+				gomega.Expect(lines).To(gomega.HaveLen(c.lines + 1))
+				gomega.Expect(lines[0]).To(gomega.Equal("line 0"))
+				return
+			}
+			gomega.Expect(len(lines)).To(gomega.BeNumerically("<", 1000))
+			gomega.Expect(output.buffer.String()).To(gomega.ContainSubstring("log lines dropped: "))
+		})
+	}
+})
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -107,7 +107,8 @@
 	weight := max(sampleWeight, least, 1-math.Exp2(-age))
 	r.estimate += (float64(min(latency, outlierFactor*usual)) - r.estimate) * weight
 	r.measured = now
-	r.sampleFloor(now, latency)
+	// A few slow answers are no sign of distance.
+	r.sampleFloor(now, min(latency, usual))
 	r.served++
 	r.failures = 0
 	r.blockedUntil = 0
