--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -56,7 +55,7 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	var output io.Writer = c.streams.Output
+	output := c.streams.Output
 	var customers loader.CustomersFile
 	if settings.Fleet == nil {
 		output = c.streams.Errors
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -67,14 +67,16 @@
 	}
 	d.require("host", string(s.Host))
 	d.require("failure-domain", string(s.Domain))
-	d.checkAddress("listen.operators", s.Listen.Operators)
-	d.checkAddress("listen.peers", s.Listen.Peers)
 	if s.Fleet != nil {
 		d.checkFleet(s)
 	} else {
 		d.require("customers", s.Customers)
 		d.checkAddress("listen.callers", s.Listen.Callers)
 		d.checkAddress("listen.backend-servers", s.Listen.BackendServers)
+	}
+	d.checkAddress("listen.operators", s.Listen.Operators)
+	d.checkAddress("listen.peers", s.Listen.Peers)
+	if s.Fleet == nil {
 		d.checkPeers(s)
 		d.checkControl(s)
 	}
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -423,12 +423,13 @@
 	Snapshot RosterSnapshot
 }
 
-// storeRoster stores the list and the declaration if they have changed.
+// storeRoster stores the list and the declaration if they have changed: a new declaration at
+// once, since requests would be routed by an older one after a restart.
 func (s *State) storeRoster() {
 	r := &s.control.roster
 	source := s.control.replicated.source.Source
-	changed := r.revision != r.stored || source.Version != r.storedVersion
-	if !changed || s.now.Since(r.storedAt) < RosterStoreInterval || s.control.replication.log == nil {
+	due := r.revision != r.stored && s.now.Since(r.storedAt) >= RosterStoreInterval
+	if (!due && source.Version == r.storedVersion) || s.control.replication.log == nil {
 		return
 	}
 	r.stored, r.storedVersion, r.storedAt = r.revision, source.Version, s.now
