internal/exchanger: wait for a request to be written before its connection is used again

Cause: an answer may be read before the write of its request has returned; the next attempt then wrote beside it. Change: a connection becomes idle once both are done. Also: a full disk is waited for in place of giving up the log (a failed sync still ends it), and half of the slack of extra attempts flows in during each window.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -42,6 +42,8 @@
 	idleMargin = 300 * time.Millisecond
 	// freshIdle is how long a connection may have been idle for an attempt that must not be lost.
 	freshIdle = 200 * time.Millisecond
+	// writePatience is how long an answered request may still be written before its connection is given up.
+	writePatience = time.Second
 	// bufferSize is the size of a connection's buffers: a usual part with its headers.
 	bufferSize = 4 << 10
 )
@@ -92,6 +94,8 @@
 type flight struct {
 	exchange   reducer.Exchange
 	connection *connection
+	// written is closed when the whole request has been written, or could not be.
+	written chan struct{}
 	// cancelled is set once the answer is no longer needed.
 	cancelled bool
 	timer     *time.Timer
@@ -126,7 +130,7 @@
 
 // Exchange sends an attempt; its end is delivered as an event.
 func (x *Exchanger) Exchange(e reducer.Exchange) {
-	f := &flight{exchange: e}
+	f := &flight{exchange: e, written: make(chan struct{})}
 	x.mutex.Lock()
 	x.flights[e.Attempt] = f
 	c := x.takeIdle(e)
@@ -228,6 +232,7 @@
 // write sends an attempt's request. A failure closes the connection, which ends the
 // attempt as lost: some of the request may have reached the server.
 func (x *Exchanger) write(c *connection, f *flight) {
+	defer close(f.written)
 	remaining := f.exchange.Deadline.Since(x.now())
 	err := x.codec.Write(c.writer, f.exchange, remaining)
 	if err == nil {
@@ -352,10 +357,28 @@
 	if reply.Idle > 0 {
 		idle = reply.Idle - idleMargin
 	}
-	again := reply.Reusable && idle > 0 && c.reader.Buffered() == 0
-	if again {
-		x.keep(c, idle)
-	}
 	x.end(f, reply.Event)
-	return again
+	if !reply.Reusable || idle <= 0 || c.reader.Buffered() > 0 || !f.waitWritten() {
+		return false
+	}
+	x.keep(c, idle)
+	return true
+}
+
+// waitWritten reports whether the request has been written. A server may answer before
+// it has read all of it.
+func (f *flight) waitWritten() bool {
+	select {
+	case <-f.written:
+		return true
+	default:
+	}
+	patience := time.NewTimer(writePatience)
+	defer patience.Stop()
+	select {
+	case <-f.written:
+		return true
+	case <-patience.C:
+		return false
+	}
 }
--- a/internal/loader/fleet.go
+++ b/internal/loader/fleet.go
@@ -15,7 +15,7 @@
 	case FleetEntry:
 		d.checkAddress("listen.callers", s.Listen.Callers)
 		d.checkAddress("listen.readiness", s.Listen.Readiness)
-		if f.ExtraAttempts.Share < 0 || f.ExtraAttempts.Slack < 0 || f.DetourMillis < 0 {
+		if f.ExtraAttempts.Share < 0 || f.ExtraAttempts.Slack < 0 || f.ExtraAttempts.WindowMillis < 0 || f.DetourMillis < 0 {
 			d.fault("fleet", "bounds must not be negative")
 		}
 	case FleetControl:
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -85,8 +85,10 @@
 	ExtraAttempts struct {
 		// Share is the part of the first attempts that may be repeated.
 		Share identifier.Ratio `yaml:"share"`
-		// Slack is how many more are allowed in a span of time.
+		// Slack is how many more are allowed in each window of time.
 		Slack int `yaml:"slack"`
+		// WindowMillis is the length of such a window, in milliseconds; 0 allows the slack once.
+		WindowMillis int64 `yaml:"window-ms"`
 	} `yaml:"extra-attempts"`
 	// DetourMillis is how much longer a backend server of the own failure domain may take
 	// before one of another domain is preferred, in milliseconds.
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/lagooncleat/lagooncleat/internal/executor"
 	"github.com/lagooncleat/lagooncleat/internal/journaler"
 	"github.com/lagooncleat/lagooncleat/internal/storer"
@@ -14,7 +16,7 @@
 	if folder == "" {
 		return nil
 	}
-	journal, recovered, err := journaler.Open(storer.Parameters{Folder: folder})
+	journal, recovered, err := journaler.Open(storer.Parameters{Folder: folder, Wait: r.waitForDisk})
 	if err != nil {
 		return err
 	}
@@ -32,6 +34,18 @@
 	return nil
 }
 
+// diskRetryInterval separates the tries to write to a disk that takes nothing, as while
+// it is full.
+const diskRetryInterval = 200 * time.Millisecond
+
+// waitForDisk waits before a write is tried again, until the host stops. Meanwhile the
+// host promises nothing, so that its log goes on where the others are.
+func (r *Runner) waitForDisk(cause error) bool {
+	r.logger.Warn("data folder takes no writes; trying again", "error", cause)
+	time.Sleep(diskRetryInterval)
+	return !r.stopping.Load()
+}
+
 // closeJournal releases the data folder, once nothing stores any more.
 func (r *Runner) closeJournal() {
 	if r.journal == nil {
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -89,6 +89,7 @@
 			Seeds: seeds,
 			ExtraAttempts: reducer.ExtraAttempts{
 				Share: s.Fleet.ExtraAttempts.Share, Slack: s.Fleet.ExtraAttempts.Slack,
+				Window: identifier.Micros(s.Fleet.ExtraAttempts.WindowMillis) * identifier.Millisecond,
 			},
 			Detour: identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
 		}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -52,6 +52,10 @@
 	Folder string
 	// Wrap, when set, stands between the Storer and each segment that it writes.
 	Wrap func(File) File
+	// Wait, when set, is called with the cause when records can't be written, as on a full
+	// disk. What was written of them is removed, and they are written again while it returns
+	// true. A failed sync is never tried again: what it left on the disk is unknown.
+	Wait func(cause error) bool
 }
 
 // Contents is what a data folder held when it was opened.
@@ -95,6 +99,7 @@
 type Storer struct {
 	folder     string
 	wrap       func(File) File
+	wait       func(cause error) bool
 	lock       *os.File
 	generation generation
 	segment    File
@@ -108,7 +113,7 @@
 	if err := os.MkdirAll(p.Folder, folderPermission); err != nil {
 		return nil, Contents{}, &FailedError{"make data folder", err}
 	}
-	s := &Storer{folder: p.Folder, wrap: p.Wrap}
+	s := &Storer{folder: p.Folder, wrap: p.Wrap, wait: p.Wait}
 	if s.wrap == nil {
 		s.wrap = func(f File) File { return f }
 	}
@@ -148,7 +153,7 @@
 
 func (s *Storer) write(records [][]byte) error {
 	frame := encodeFrame(s.generation, s.offset, records)
-	if _, err := s.segment.Write(frame); err != nil {
+	if err := s.writeFrame(frame); err != nil {
 		return s.fail("write records", err)
 	}
 	if err := s.segment.Sync(); err != nil {
@@ -158,6 +163,19 @@
 	return nil
 }
 
+// writeFrame writes a frame at the end of the segment, again as long as Wait says so.
+func (s *Storer) writeFrame(frame []byte) error {
+	for {
+		_, err := s.segment.Write(frame)
+		if err == nil || s.wait == nil || !s.wait(err) {
+			return err
+		}
+		if err := os.Truncate(s.path(segmentName(s.generation)), s.offset); err != nil {
+			return err
+		}
+	}
+}
+
 // Compact replaces everything stored by a snapshot and the records that follow
 // it; they are synced when it returns nil.
 func (s *Storer) Compact(snapshot []byte, tail [][]byte) error {
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -211,6 +211,50 @@
 	return f.File.Sync()
 }
 
+var _ = ginkgo.Describe("a disk that is full for a while", func() {
+	for _, c := range []struct {
+		name string
+		// space is what the disk takes at first, and waits how often the Storer waits before
+		// there is room; patience is how often it may.
+		space, waits, patience int
+		kept                   int
+	}{
+		{"takes all records once there is room", frame + 100, 3, 3, 3},
+		{"takes them when it was full at once", 0, 1, 3, 3},
+		{"fails when the wait ends", frame + 100, 5, 2, 1},
+	} {
+		ginkgo.It(c.name, func() {
+			folder := filepath.Join(ginkgo.GinkgoT().TempDir(), "data")
+			var file *limitedFile
+			waits := 0
+			s, _, err := storer.Open(storer.Parameters{
+				Folder: folder,
+				Wrap: func(f storer.File) storer.File {
+					file = &limitedFile{File: f, space: c.space, syncs: 99}
+					return file
+				},
+				Wait: func(cause error) bool {
+					gomega.Expect(errors.Is(cause, syscall.ENOSPC)).To(gomega.BeTrue())
+					waits++
+					if waits >= c.waits {
+						file.space = 99 * frame
+					}
+					return waits <= c.patience
+				},
+			})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			for i := range 3 {
+				err = s.Append(records(i, 1))
+			}
+			gomega.Expect(err == nil).To(gomega.Equal(c.kept == 3))
+			gomega.Expect(s.Close()).To(gomega.Succeed())
+			s, contents := open(folder)
+			defer s.Close()
+			gomega.Expect(contents.Records).To(gomega.HaveExactElements(records(0, c.kept)))
+		})
+	}
+})
+
 var _ = ginkgo.Describe("a failing disk", func() {
 	cases := []struct {
 		name         string
--- a/pkg/reducer/duty.go
+++ b/pkg/reducer/duty.go
@@ -42,8 +42,9 @@
 type ExtraAttempts struct {
 	// Share is the part of the first attempts that may be repeated.
 	Share identifier.Ratio
-	// Slack is how many more are allowed in a span of time, by all hosts together.
-	Slack int
+	// Slack is how many more are allowed in each Window of time, by all hosts together.
+	Slack  int
+	Window identifier.Micros
 }
 
 func (CombinedDuty) isDuty() {}
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -15,6 +15,9 @@
 	// extraPortion is the part of the allowed extra attempts that hosts plan with, so that
 	// uneven shares and windows of time leave them within the bound.
 	extraPortion = 0.8
+	// slackPortion is the part of the slack that hosts plan with; each knows within seconds
+	// how many share it.
+	slackPortion = 0.9
 	// connectionPortion is the part of a server's connections that hosts plan with: some are
 	// still closing, and hosts learn late of each other.
 	connectionPortion = 0.95
@@ -173,25 +176,37 @@
 	return max(1, identifier.Connections(math.Round(planned*(1-nearPortion)/float64(max(1, sharers.Far)))))
 }
 
-// extra returns the budget of extra attempts to a service.
-func (s *State) extra(id identifier.ServiceID) *throttler.Throttler {
+// extra is a budget of extra attempts, and when time last filled it.
+type extra struct {
+	throttler.Throttler
+	filled identifier.Instant
+}
+
+// extra returns the budget of extra attempts to a service, filled up to now. What a bucket
+// holds and what flows in during a window are each half of this host's part of the slack, so
+// that no window sees more than the part.
+func (s *State) extra(id identifier.ServiceID) *extra {
+	half := s.extraSlack() / 2
 	known, ok := s.traffic.extras[id]
 	if !ok {
-		burst := s.extraBurst()
-		budget := throttler.New(burst, burst/2)
-		known = &budget
+		known = &extra{Throttler: throttler.New(max(1, half), half/2), filled: s.now}
 		s.traffic.extras[id] = known
 	}
+	if d, ok := s.parameters.Duty.(EntryDuty); ok && d.ExtraAttempts.Window > 0 {
+		known.Refill(half * float64(s.now.Since(known.filled)) / float64(d.ExtraAttempts.Window))
+	}
+	known.filled = s.now
 	return known
 }
 
-// extraBurst is this host's part of the extra attempts that are allowed at any time.
-func (s *State) extraBurst() float64 {
+// extraSlack is this host's part of the slack.
+func (s *State) extraSlack() float64 {
 	d, ok := s.parameters.Duty.(EntryDuty)
 	if !ok {
 		return 0
 	}
-	return max(1, float64(d.ExtraAttempts.Slack)*extraPortion/float64(s.traffic.view.Fleet.Sharers.Near+s.traffic.view.Fleet.Sharers.Far))
+	sharers := s.traffic.view.Fleet.Sharers
+	return float64(d.ExtraAttempts.Slack) * slackPortion / float64(sharers.Near+sharers.Far)
 }
 
 // extraShare is the share of an extra attempt that a first one earns.
@@ -499,7 +514,7 @@
 		}
 	}
 	for id := range s.traffic.extras {
-		s.traffic.extras[id].Limit(s.extraBurst())
+		s.traffic.extras[id].Limit(max(1, s.extraSlack()/2))
 	}
 }
 
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -53,7 +53,7 @@
 	// watches is what is known of the attempts in flight, by server.
 	watches map[identifier.ServerID]*watch
 	// extras are the budgets of extra attempts.
-	extras map[identifier.ServiceID]*throttler.Throttler
+	extras map[identifier.ServiceID]*extra
 	// splitters divide the requests of split routes.
 	splitters map[declarer.RouteID]*splitter.Splitter
 }
@@ -82,7 +82,7 @@
 		sendings:  map[identifier.AttemptID]*sending{},
 		delegates: map[identifier.HostID]identifier.Instant{},
 		watches:   map[identifier.ServerID]*watch{},
-		extras:    map[identifier.ServiceID]*throttler.Throttler{},
+		extras:    map[identifier.ServiceID]*extra{},
 		splitters: map[declarer.RouteID]*splitter.Splitter{},
 	}
 }
--- /dev/null
+++ b/pkg/throttler/refill_test.go
@@ -0,0 +1,33 @@
+package throttler_test
+
+import (
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/throttler"
+)
+
+var _ = ginkgo.Describe("a throttler that time fills", func() {
+	for _, c := range []struct {
+		name   string
+		refill []float64
+		limit  float64
+		spent  uint64
+	}{
+		{"saves up what time brings", []float64{0.5, 0.5, 2}, 10, 3},
+		{"saves up no more than its burst", []float64{50}, 10, 10},
+		{"loses what a lower burst does not hold", []float64{8}, 3, 3},
+	} {
+		ginkgo.It(c.name, func() {
+			t := throttler.New(10, 0)
+			for _, tokens := range c.refill {
+				t.Refill(tokens)
+			}
+			t.Limit(c.limit)
+			for t.Spend() {
+			}
+			gomega.Expect(t.Spent()).To(gomega.Equal(c.spent))
+			gomega.Expect(t.Kept()).To(gomega.BeTrue())
+		})
+	}
+})
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -1,7 +1,7 @@
 // Package throttler bounds extra attempts to a share of the needed ones.
 //
-// A Throttler is a token bucket that time does not fill: each needed attempt adds
-// a share of a token and each extra attempt takes a whole one. Every state of
+// A Throttler is a token bucket: each needed attempt adds a share of a token and each
+// extra attempt takes a whole one. Time fills it only where its user says so (Refill). Every state of
 // every entry host keeps its own, so the extra attempts of all hosts together
 // stay within the share of the needed attempts of all hosts together, without a
 // message between them.
@@ -39,6 +39,12 @@
 	t.tokens = min(t.burst, t.tokens+float64(share))
 }
 
+// Refill adds tokens that time has brought.
+func (t *Throttler) Refill(tokens float64) {
+	t.earned += tokens
+	t.tokens = min(t.burst, t.tokens+tokens)
+}
+
 // Limit changes how many tokens are saved up at most.
 func (t *Throttler) Limit(burst float64) {
 	t.burst = burst
