--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -18,6 +18,9 @@
 	// slackPortion is the part of the slack that hosts plan with; each knows within seconds
 	// how many share it.
 	slackPortion = 0.9
+	// bucketPortion is the part of the slack that is saved up for pauses and crashes of several
+	// servers at once; the rest flows in evenly.
+	bucketPortion = 0.75
 	// connectionPortion is the part of a server's connections that hosts plan with: some are
 	// still closing, and hosts learn late of each other.
 	connectionPortion = 0.95
@@ -183,22 +186,27 @@
 }
 
 // extra returns the budget of extra attempts to a service, filled up to now. What a bucket
-// holds and what flows in during a window are each half of this host's part of the slack, so
-// that no window sees more than the part.
+// holds and what flows in during a window are together this host's part of the slack, so that
+// no window sees more.
 func (s *State) extra(id identifier.ServiceID) *extra {
-	half := s.extraSlack() / 2
+	slack := s.extraSlack()
 	known, ok := s.traffic.extras[id]
 	if !ok {
-		known = &extra{Throttler: throttler.New(max(1, half), half/2), filled: s.now}
+		known = &extra{Throttler: throttler.New(bucketSize(slack), bucketSize(slack)/2), filled: s.now}
 		s.traffic.extras[id] = known
 	}
 	if d, ok := s.parameters.Duty.(EntryDuty); ok && d.ExtraAttempts.Window > 0 {
-		known.Refill(half * float64(s.now.Since(known.filled)) / float64(d.ExtraAttempts.Window))
+		known.Refill(slack * (1 - bucketPortion) * float64(s.now.Since(known.filled)) / float64(d.ExtraAttempts.Window))
 	}
 	known.filled = s.now
 	return known
 }
 
+// bucketSize is how many extra attempts are saved up at most.
+func bucketSize(slack float64) float64 {
+	return max(1, slack*bucketPortion)
+}
+
 // extraSlack is this host's part of the slack.
 func (s *State) extraSlack() float64 {
 	d, ok := s.parameters.Duty.(EntryDuty)
@@ -514,7 +522,7 @@
 		}
 	}
 	for id := range s.traffic.extras {
-		s.traffic.extras[id].Limit(max(1, s.extraSlack()/2))
+		s.traffic.extras[id].Limit(bucketSize(s.extraSlack()))
 	}
 }
 
