pkg/reducer: let a server's leaving count whatever its sequence

Control hosts list the sequence of the last change that each of them heard; an entry host that had followed another one held a higher sequence and took the news of the leaving for an old one. Ruled out: a control host that did not hear of it (all six logged it within 10 ms); that the followed host was silent. Change: within one life of a server its draining and leaving are final, and sequences don't count between lists.

--- /dev/null
+++ b/cmd/lagooncleat/soak_test.go
@@ -0,0 +1,344 @@
+package main_test
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/lagooncleat/lagooncleat/internal/loader"
+	"github.com/lagooncleat/lagooncleat/internal/relayer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+var (
+	soakSeeds = flag.Int("soak-seeds", 1, "how many seeds the fault soak plays")
+	soakFirst = flag.Uint64("soak-first", 1, "the first seed of the fault soak")
+	soakSpan  = flag.Duration("soak-span", 8*time.Second, "how long the fault soak injects faults for each seed")
+)
+
+// Ports of a soaked host; the relay listens at the port that names it to others.
+const (
+	soakPeerPort = 7400 + iota
+	soakPeerTarget
+	soakOperatorPort
+	soakFrontPort
+	soakReadyPort
+	soakControlPort
+)
+
+// soakHost is a real process of a fleet, behind a relay for its peers.
+type soakHost struct {
+	ip       string
+	file     string
+	settings loader.Settings
+	session  *gexec.Session
+	relay    *relayer.Relay
+	stopped  bool
+}
+
+func (h *soakHost) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
+
+// soak is one seed's run: three control hosts, three entry hosts and what they did wrong.
+type soak struct {
+	random     *rand.Rand
+	deployment *deployment
+	hosts      []*soakHost
+	servers    *soakServers
+	done       chan struct{}
+	clients    sync.WaitGroup
+
+	mutex sync.Mutex
+	// acknowledged is the highest version of the declaration that was acknowledged.
+	acknowledged int
+	broken       []string
+	served       int
+	// promised are the postings that were answered as not run.
+	promised []string
+}
+
+func newSoak(number int, seed uint64) *soak {
+	s := &soak{random: rand.New(rand.NewPCG(seed, 0)), deployment: newDeployment(number), done: make(chan struct{})}
+	prefix := s.deployment.ip[:strings.LastIndexByte(s.deployment.ip, '.')]
+	var seeds []identifier.Address
+	for i := range 2 * soakDomains {
+		h := &soakHost{ip: fmt.Sprintf("%s.%d", prefix, 110+i)}
+		s.hosts = append(s.hosts, h)
+		if i < soakDomains {
+			seeds = append(seeds, identifier.Address(h.address(soakControlPort)))
+		}
+	}
+	var controls []string
+	for i, h := range s.hosts {
+		h.settings = loader.Settings{
+			Host: identifier.HostID(h.address(soakPeerPort)), Domain: identifier.DomainID(fmt.Sprintf("fd-%d", i%soakDomains)),
+			Listen: loader.Listen{
+				Operators: identifier.Address(h.address(soakOperatorPort)), Peers: identifier.Address(h.address(soakPeerTarget)),
+			},
+			Fleet: &loader.Fleet{Duty: loader.FleetEntry, Seeds: seeds, PeerPort: soakPeerPort},
+		}
+		h.settings.Fleet.ExtraAttempts.Share, h.settings.Fleet.ExtraAttempts.Slack = 0.2, 50
+		h.settings.Fleet.ExtraAttempts.WindowMillis = 10000
+		if i < soakDomains {
+			controls = append(controls, h.address(soakControlPort))
+			h.settings.Listen.BackendServers = identifier.Address(h.address(soakControlPort))
+			h.settings.Control.DataFolder = filepath.Join(s.deployment.folder, fmt.Sprintf("data-%d", i))
+			h.settings.Fleet.Duty, h.settings.Fleet.Founder = loader.FleetControl, true
+			h.settings.Fleet.AnnouncementIntervalMillis = soakAnnouncement.Milliseconds()
+		} else {
+			h.settings.Listen.Callers = identifier.Address(h.address(soakFrontPort))
+			h.settings.Listen.Readiness = identifier.Address(h.address(soakReadyPort))
+		}
+		var err error
+		h.relay, err = relayer.New(relayer.Parameters{
+			Listen: identifier.Address(h.address(soakPeerPort)), Target: h.settings.Listen.Peers, Delay: time.Millisecond,
+		})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(h.relay.Close)
+		s.start(h)
+	}
+	s.servers = newSoakServers(controls)
+	ginkgo.DeferCleanup(s.servers.close)
+	return s
+}
+
+func (s *soak) start(h *soakHost) {
+	h.file = s.deployment.write(h.ip+".yaml", h.settings)
+	h.session = s.deployment.start(program, "serve", "--settings", h.file)
+	h.stopped = false
+	// Only the first start of all founds the group.
+	h.settings.Fleet.Founder = false
+}
+
+func (s *soak) fail(format string, values ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf(format, values...))
+}
+
+// declare sends the next version to a control host and notes whether it was acknowledged.
+func (s *soak) declare(version int) bool {
+	shards := make([]string, soakShards)
+	services := `{"name":"ledger","maxConns":30}`
+	for i := range shards {
+		shards[i] = fmt.Sprintf("%q", fmt.Sprintf("shard-%d", i))
+		services += fmt.Sprintf(`,{"name":%s,"maxConns":30}`, shards[i])
+	}
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"search","hostname":"soak.example","pathPrefix":"/search/",
+		"routeKind":"idempotent","timeoutMs":800,"targetLatencyMs":150,"attempts":2,"gather":[%s],"topK":%d,"minCoverage":0.5},
+		{"name":"post","hostname":"soak.example","pathPrefix":"/post/","routeKind":"non_idempotent","timeoutMs":800,
+		"targetLatencyMs":300,"attempts":2,"backend":"ledger"}],"services":[%s],"limits":{"maxBodyBytes":1000}}`,
+		version, strings.Join(shards, ","), soakGreatest, services)
+	status, _, _ := soakCall("PUT", s.hosts[version%soakDomains].address(soakControlPort), "/config", body, "")
+	if status == 200 {
+		s.mutex.Lock()
+		s.acknowledged = max(s.acknowledged, version)
+		s.mutex.Unlock()
+	}
+	return status == 200
+}
+
+// read reads the declaration at a control host; it must not be older than what was
+// acknowledged before the read began.
+func (s *soak) read(host int) int {
+	s.mutex.Lock()
+	least := s.acknowledged
+	s.mutex.Unlock()
+	status, _, body := soakCall("GET", s.hosts[host].address(soakControlPort), "/config", "", "")
+	if status != 200 {
+		return 0
+	}
+	var version int
+	if _, err := fmt.Sscanf(string(body), `{"version":%d`, &version); err != nil || version < least {
+		s.fail("a read gave version %d after %d was acknowledged", version, least)
+	}
+	return version
+}
+
+// soakCall makes a call on a connection of its own; the status is 0 when it fails.
+func soakCall(method, address, path, body, id string) (int, http.Header, []byte) {
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Host, request.Close = "soak.example", true
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "800")
+	response, err := (&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil, nil
+	}
+	return response.StatusCode, response.Header, content
+}
+
+// search asks an entry host and reports how many parts the answer misses; -1 is no answer.
+func (s *soak) search(host int, id string) int {
+	path := "/search/" + id
+	status, header, body := soakCall("GET", s.hosts[host].address(soakFrontPort), path, "", id)
+	if status != 200 {
+		return -1
+	}
+	if fault := checkSearch(header, body, id, path); fault != "" {
+		s.fail("%s", fault)
+	}
+	s.mutex.Lock()
+	s.served++
+	s.mutex.Unlock()
+	missing, err := strconv.Atoi(header.Get("X-Missing-Parts"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return missing
+}
+
+// post sends work that must run once at most.
+func (s *soak) post(host int, id string) {
+	status, _, _ := soakCall("POST", s.hosts[host].address(soakFrontPort), "/post/"+id, "work", id)
+	if status == 503 || status == 429 {
+		s.mutex.Lock()
+		s.promised = append(s.promised, id)
+		s.mutex.Unlock()
+	}
+}
+
+// work sends requests, declarations and reads until the soak is done.
+func (s *soak) work(worker int) {
+	defer ginkgo.GinkgoRecover()
+	for i := 0; ; i++ {
+		select {
+		case <-s.done:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		id := fmt.Sprintf("%d-%d", worker, i)
+		host := soakDomains + (i+worker)%soakDomains
+		switch {
+		case worker == 0 && i%20 == 0:
+			s.declare(2 + i)
+		case worker == 1 && i%10 == 0:
+			s.read(i % soakDomains)
+		case i%5 == 0:
+			s.post(host, id)
+		default:
+			s.search(host, id)
+		}
+	}
+}
+
+// disturb does one thing at random to one host, and undoes it after a while.
+func (s *soak) disturb() {
+	h := s.hosts[s.random.IntN(len(s.hosts))]
+	span := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
+	signal := func(x syscall.Signal) { h.session.Signal(x) }
+	kind := s.random.IntN(7)
+	ginkgo.GinkgoWriter.Println("disturb", h.ip, kind, span)
+	switch kind {
+	case 0:
+		signal(syscall.SIGKILL)
+		h.session.Wait(patience)
+		time.Sleep(span)
+		s.start(h)
+	case 1:
+		signal(syscall.SIGTERM)
+		h.session.Wait(patience)
+		s.start(h)
+	case 2:
+		signal(syscall.SIGSTOP)
+		time.Sleep(span)
+		signal(syscall.SIGCONT)
+	case 3:
+		h.relay.Set(relayer.Cut{})
+		time.Sleep(span)
+		h.relay.Set(relayer.Flowing{})
+	case 4:
+		h.relay.Set(relayer.Frozen{Forward: s.random.IntN(2) == 0, Backward: true})
+		time.Sleep(span)
+		h.relay.Set(relayer.Flowing{})
+	case 5:
+		s.wipe(h, span)
+	case 6:
+		signal(syscall.SIGHUP)
+		time.Sleep(span / 10)
+	}
+}
+
+// wipe takes a control host's disk, if the others are whole: the deployment bears one loss.
+func (s *soak) wipe(h *soakHost, span time.Duration) {
+	h.session.Signal(syscall.SIGKILL)
+	h.session.Wait(patience)
+	if h.settings.Control.DataFolder != "" {
+		gomega.Expect(os.RemoveAll(h.settings.Control.DataFolder)).To(gomega.Succeed())
+	}
+	time.Sleep(span)
+	s.start(h)
+	// The host counts again once it has caught up.
+	time.Sleep(2 * time.Second)
+}
+
+// whole reports whether every entry host answers searches in full and every control host
+// reads what was acknowledged.
+func (s *soak) whole(try int) bool {
+	for i := range soakDomains {
+		if s.search(soakDomains+i, fmt.Sprintf("end-%d-%d", try, i)) != 0 || s.read(i) < s.acknowledged {
+			return false
+		}
+	}
+	return true
+}
+
+var _ = ginkgo.Describe("the fault soak", func() {
+	ginkgo.It("keeps the promises of a fleet under faults from outside", func() {
+		for i := range uint64(*soakSeeds) {
+			s := newSoak(90, *soakFirst+i)
+			gomega.Eventually(func() bool { return s.declare(1) }, patience, "100ms").Should(gomega.BeTrue())
+			try := 0
+			whole := func() bool { try++; return s.whole(try) }
+			gomega.Eventually(whole, patience, "100ms").Should(gomega.BeTrue(), "seed %d at the start", *soakFirst+i)
+			for worker := range 4 {
+				s.clients.Go(func() { s.work(worker) })
+			}
+			for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
+				s.disturb()
+			}
+			close(s.done)
+			s.clients.Wait()
+			gomega.Eventually(whole, patience, "100ms").Should(gomega.BeTrue(), "seed %d at the end", *soakFirst+i)
+			s.settle(*soakFirst + i)
+			for _, h := range s.hosts {
+				h.session.Kill().Wait(patience)
+				h.relay.Close()
+			}
+		}
+	})
+})
+
+// settle checks what can be known only at the end.
+func (s *soak) settle(seed uint64) {
+	s.servers.mutex.Lock()
+	defer s.servers.mutex.Unlock()
+	for id, n := range s.servers.runs {
+		if n > 1 {
+			s.fail("%s ran %d times", id, n)
+		}
+	}
+	for _, id := range s.promised {
+		if s.servers.runs[id] > 0 {
+			s.fail("%s was answered as not run and ran", id)
+		}
+	}
+	gomega.Expect(s.broken).To(gomega.BeEmpty(), "seed %d", seed)
+	gomega.Expect(s.served).To(gomega.BeNumerically(">", 0))
+}
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -21,6 +21,8 @@
 		h.dependencies.Counters.Count(e)
 	case reducer.Observe:
 		h.dependencies.Counters.Observe(h.clock.now(), e)
+	case reducer.Time:
+		h.dependencies.Counters.Time(e)
 	case reducer.PublishView:
 		h.publish(e.View)
 	case reducer.GrantLease:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -50,6 +50,7 @@
 type Counters interface {
 	Count(reducer.Count)
 	Observe(at identifier.Instant, o reducer.Observe)
+	Time(reducer.Time)
 }
 
 // Loggers gives the logger of a subsystem.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -61,6 +61,8 @@
 // Parameters describe a Relay.
 type Parameters struct {
 	Target identifier.Address
+	// Listen is where the relay listens; empty takes a free port of loopback.
+	Listen identifier.Address
 	// Delay is added in each direction.
 	Delay time.Duration
 }
@@ -80,9 +82,12 @@
 	connections map[net.Conn]struct{}
 }
 
-// New starts a relay on a free port of loopback.
+// New starts a relay.
 func New(p Parameters) (*Relay, error) {
-	l, err := net.Listen("tcp", loopback)
+	if p.Listen == "" {
+		p.Listen = loopback
+	}
+	l, err := net.Listen("tcp", string(p.Listen))
 	if err != nil {
 		return nil, fmt.Errorf("relayer: listen: %w", err)
 	}
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -10,9 +10,6 @@
 //	if err := d.Check(); err != nil {
 //		return err
 //	}
-//	if d.Supersedes(held) {
-//		held = d
-//	}
 package declarer
 
 import (
@@ -100,11 +97,6 @@
 	Limits   Limits             `msgpack:"l"`
 }
 
-// Supersedes reports whether the declaration replaces the other one, which may be nil.
-func (d *Declaration) Supersedes(held *Declaration) bool {
-	return held == nil || d.Version > held.Version
-}
-
 // InvalidError reports what is wrong with a declaration.
 type InvalidError struct {
 	// Object names the route or service at fault; it is empty for the whole.
--- a/pkg/declarer/declarer_test.go
+++ b/pkg/declarer/declarer_test.go
@@ -50,22 +50,6 @@
 		})
 	}
 
-	for _, c := range []struct {
-		name       string
-		held       *declarer.Declaration
-		supersedes bool
-	}{
-		{"supersedes none", nil, true},
-		{"supersedes a lower version", &declarer.Declaration{Version: 2}, true},
-		{"does not supersede its own version", &declarer.Declaration{Version: 3}, false},
-		{"does not supersede a higher version", &declarer.Declaration{Version: 4}, false},
-	} {
-		ginkgo.It(c.name, func() {
-			d := declaration()
-			gomega.Expect(d.Supersedes(c.held)).To(gomega.Equal(c.supersedes))
-		})
-	}
-
 	ginkgo.It("keeps the text of its source", func() {
 		text := make([]byte, 100000)
 		source, err := declarer.NewSource(3, text)
--- a/pkg/declarer/example_test.go
+++ b/pkg/declarer/example_test.go
@@ -12,10 +12,10 @@
 		Routes:   []declarer.Route{{ID: "archive", Timeout: 1, Targets: []declarer.Target{{Service: "one", Weight: 1}}}},
 		Services: []declarer.Service{{ID: "one"}},
 	}
-	fmt.Println(d.Check(), d.Supersedes(nil))
+	fmt.Println(d.Check())
 	d.Routes[0].Timeout = 0
 	fmt.Println(d.Check())
 	// Output:
-	// <nil> true
+	// <nil>
 	// declaration: archive: the timeout must be above 0
 }
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -226,7 +226,7 @@
 		for _, i := range d.pieces {
 			if w := &q.pieces[i]; !w.settled && w.open == 1 {
 				late++
-				s.send(q, i, hedged)
+				s.send(q, i)
 			}
 		}
 		if late == len(d.pieces) {
@@ -309,7 +309,7 @@
 		w.ran, q.ran = true, true
 	}
 	if w.open == 0 && !w.settled {
-		s.seek(q, index, retried)
+		s.seek(q, index)
 	}
 }
 
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -42,6 +42,18 @@
 	}
 )
 
+// Histogram names a histogram of spans.
+type Histogram string
+
+// Time takes a span into a histogram.
+type Time struct {
+	effect
+	Histogram Histogram
+	Rank      identifier.Rank
+	// Span is in microseconds.
+	Span identifier.Micros
+}
+
 // Effects of the control state.
 type (
 	// PublishView hands the view to the traffic states of this host.
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -717,19 +717,32 @@
 	return changed
 }
 
-// takeServer takes in one server unless what this host holds is newer.
+// takeServer takes in one server unless what this host holds is newer. Within one life of
+// the server its draining and its leaving are final; sequences don't count, since control
+// hosts note that of the last change that each of them heard.
 func (s *State) takeServer(l Listed) bool {
 	r := &s.control.roster
 	known, ok := r.servers[l.Announcement.Server]
-	if ok && known.Announcement.NewerThan(l.Announcement) {
-		return false
+	if !ok || l.Announcement.Incarnation > known.Announcement.Incarnation {
+		return r.note(s.now, l.Announcement, l.Standing)
 	}
-	if ok && known.Standing == Left && known.Announcement.Incarnation == l.Announcement.Incarnation {
+	if l.Announcement.Incarnation < known.Announcement.Incarnation || l.ending() < known.ending() {
 		return false
 	}
 	return r.note(s.now, l.Announcement, l.Standing)
 }
 
+// ending orders how far a server has come to its end.
+func (l *Listed) ending() int {
+	switch {
+	case l.Standing == Left:
+		return 2
+	case l.Announcement.State == leaser.Draining:
+		return 1
+	}
+	return 0
+}
+
 // learnRoster lets a control host that has started take in another's list.
 func (s *State) learnRoster(e RosterSent) {
 	if s.control.learnt {
--- a/pkg/reducer/fleet_test.go
+++ b/pkg/reducer/fleet_test.go
@@ -450,3 +450,37 @@
 		gomega.Expect(w.version(1)).To(gomega.Equal(identifier.Version(3)))
 	})
 })
+
+var _ = ginkgo.Describe("what an entry host hears of one server from two control hosts", func() {
+	listed := func(standing reducer.Standing, state leaser.ServerState, incarnation identifier.Incarnation, sequence identifier.Sequence) reducer.Listed {
+		a := announcement("s-1", incarnation, sequence)
+		a.State = state
+		return reducer.Listed{Announcement: a, Standing: standing, Revision: 1}
+	}
+	present := listed(reducer.Present, leaser.Serving, 2, 9)
+	for _, c := range []struct {
+		name          string
+		first, second reducer.Listed
+		used          bool
+	}{
+		{"ends with its leaving, though that host had last heard less of it", present, listed(reducer.Left, leaser.Serving, 2, 1), false},
+		{"ends with its draining, though that host had last heard less of it", present, listed(reducer.Present, leaser.Draining, 2, 1), false},
+		{"is not undone by a host that does not know of its leaving", listed(reducer.Left, leaser.Serving, 2, 1), present, false},
+		{"is not undone by a host that does not know of its draining", listed(reducer.Present, leaser.Draining, 2, 1), present, false},
+		{"does not end with an earlier life's leaving", present, listed(reducer.Left, leaser.Serving, 1, 99), true},
+		{"begins anew with a later life", listed(reducer.Left, leaser.Serving, 1, 99), present, true},
+	} {
+		ginkgo.It(c.name, func() {
+			w := newSmall()
+			w.declare(0, source(1, "desk"))
+			for i, l := range []reducer.Listed{c.first, c.second} {
+				w.reduce(entryName(0), reducer.RosterSent{
+					From: controlName(i), Position: reducer.RosterPosition{Started: 1, Revision: 1}, Whole: true,
+					InTouch: true, Learnt: true, Servers: []reducer.Listed{l},
+				})
+			}
+			_, used := w.backends(0)["s-1"]
+			gomega.Expect(used).To(gomega.Equal(c.used))
+		})
+	}
+})
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -34,6 +34,14 @@
 	ServerWait = 50 * identifier.Millisecond
 )
 
+// Histograms of clients' requests.
+const (
+	// RequestHistogram is of the time from the arrival of a request to its answer.
+	RequestHistogram Histogram = "request-seconds"
+	// ExchangeHistogram is of the latency of served attempts.
+	ExchangeHistogram Histogram = "exchange-seconds"
+)
+
 // Counters of clients' requests.
 const (
 	RequestsCounter        Counter = "requests"
@@ -110,7 +118,7 @@
 func (s *State) seekAll(q *request) {
 	for i := range q.pieces {
 		if q.pieces[i].open == 0 {
-			s.seek(q, i, needed)
+			s.seek(q, i)
 		}
 	}
 }
@@ -150,7 +158,7 @@
 		s.hedgeOverdue(q)
 		for i := range q.pieces {
 			if q.pieces[i].again <= s.now {
-				s.seek(q, i, retried)
+				s.seek(q, i)
 			}
 		}
 	}
@@ -267,6 +275,7 @@
 
 func (s *State) countAnswer(q *request) {
 	s.count(RequestAnswersCounter, "", q.rank)
+	s.emit(Time{Histogram: RequestHistogram, Rank: q.rank, Span: s.now.Since(q.arrival)})
 	if q.missedObjective(s.now) {
 		s.count(LateAnswersCounter, "", q.rank)
 		s.logRequest(q, Debug, "request answered late")
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -27,15 +28,18 @@
 	// nearPortion is the part of these that hosts of the server's own failure domain share. The
 	// others need room for the hedges that a pause of their own server asks for at once.
 	nearPortion = 0.6
-	// stallFactor is how many times the usual latency of a slow service a server may be silent
-	// before new work goes elsewhere.
-	stallFactor = 3
-	// hedgeSlack is the time that a hedge is sent earlier than its usual latency asks for.
+	// A hedge is sent hedgeLead usual latencies and hedgeSlack before its answer must be in: the
+	// usual latency is exceeded by one attempt in twenty, and the messages take their time.
+	hedgeLead  = 1.5
 	hedgeSlack = 4 * identifier.Millisecond
-	// pauseAllowance is the silence of a server with attempts in flight that is no sign of
-	// trouble: servers pause for a tenth of a second and more, and a hedge for the few requests
-	// that a pause would make late costs less than sending all of them elsewhere.
-	pauseAllowance = 60 * identifier.Millisecond
+	// unknownUsual divides the objective to give the usual latency of a service that has not
+	// been measured.
+	unknownUsual = 3
+	// A server with attempts in flight has stalled when it is silent for longer than
+	// stallFactor usual latencies of its service, and than stallFloor: half of a pause, after
+	// which new work may be late there.
+	stallFactor = 3
+	stallFloor  = 60 * identifier.Millisecond
 	// misdirectionTerm is how long a server is left alone after another one answered at its address.
 	misdirectionTerm = 5 * identifier.Second
 )
@@ -74,10 +78,10 @@
 }
 
 // seek sends an attempt for a piece, or arranges to look for a server again.
-func (s *State) seek(q *request, index int, p purpose) {
+func (s *State) seek(q *request, index int) {
 	w := &q.pieces[index]
 	w.again = identifier.Never
-	if s.send(q, index, p) || w.open > 0 {
+	if s.send(q, index) || w.open > 0 {
 		return
 	}
 	at := s.now.Add(ServerWait)
@@ -107,7 +111,7 @@
 
 // send sends an attempt for a piece to one of its servers. It reports false when no
 // server may take it, or the budget of extra attempts is spent.
-func (s *State) send(q *request, index int, p purpose) bool {
+func (s *State) send(q *request, index int) bool {
 	w := &q.pieces[index]
 	if s.exhausted(q, w) {
 		return false
@@ -122,7 +126,7 @@
 	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Parcel.Client)
 	a := &sending{
 		piece: index, service: w.service, server: backend.Server, rank: q.rank,
-		sent: s.now, hedge: identifier.Never, open: true, purpose: p,
+		sent: s.now, hedge: identifier.Never, open: true,
 	}
 	a.hedge = s.hedgeInstant(q, a)
 	q.attempts = append(q.attempts, a)
@@ -156,10 +160,13 @@
 	}
 	if !budget.Spend() {
 		s.count(RepeatsWithheldCounter, "", q.rank)
+		s.logRequest(q, Info, "no budget for another attempt", Field{"service", string(w.service)})
 		return false
 	}
 	s.require(budget.Kept(), RetryInvariant, string(w.service))
 	s.count(RepeatsCounter, "", q.rank)
+	s.logRequest(q, Info, "another attempt", Field{"service", string(w.service)},
+		Field{"tried", describeServers(w.tried)}, Field{"refused", describeServers(w.refused)})
 	return true
 }
 
@@ -256,7 +263,7 @@
 	if !ok || len(w.open) == 0 {
 		return false
 	}
-	return w.stalled(s.now, max(pauseAllowance, stallFactor*s.usualLatency(service)))
+	return w.stalled(s.now, max(stallFloor, stallFactor*s.usualLatency(service)))
 }
 
 // usualLatency returns the usual latency of a service's answers of any rank, in microseconds.
@@ -325,7 +332,7 @@
 		if q.pieces[a.piece].settled || q.pieces[a.piece].open > 1 {
 			continue
 		}
-		if !s.send(q, a.piece, hedged) && s.now.Add(elapsed) < q.deadline {
+		if !s.send(q, a.piece) && s.now.Add(elapsed) < q.deadline {
 			a.hedge = s.now.Add(elapsed)
 		}
 	}
@@ -334,18 +341,19 @@
 // hedgeAt returns when to hedge an attempt that is sent now and is usually answered within the span.
 func (s *State) hedgeAt(q *request, usual identifier.Micros) identifier.Instant {
 	if usual == 0 {
-		usual = q.route.Objective / 3
+		usual = q.route.Objective / unknownUsual
 	}
-	at := max(s.now.Add(usual), q.objective.Add(-usual*3/2-hedgeSlack))
+	lead := identifier.Micros(hedgeLead*float64(usual)) + hedgeSlack
+	at := max(s.now.Add(usual), q.objective.Add(-lead))
 	if at >= q.deadline {
 		return identifier.Never
 	}
 	return at
 }
 
-// noteWait takes in that an attempt has waited in vain for longer than a pause lasts.
+// noteWait takes in that an attempt has waited in vain, unless a short pause explains it.
 func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
-	if elapsed > pauseAllowance {
+	if elapsed > stallFloor {
 		s.traffic.chooser.Wait(s.now, a.server, elapsed)
 	}
 }
@@ -384,6 +392,7 @@
 func (s *State) measure(a *sending, latency identifier.Micros) {
 	known := s.traffic.service(a.service)
 	known.hedger.Observe(a.rank, latency)
+	s.emit(Time{Histogram: ExchangeHistogram, Rank: a.rank, Span: latency})
 	if usual, _ := known.hedger.Usual(a.rank); usual > 0 {
 		s.traffic.chooser.ServeAmong(s.now, a.server, latency, usual)
 		return
@@ -499,7 +508,7 @@
 // tryElsewhere arranges another attempt for a piece that none is in flight for.
 func (s *State) tryElsewhere(q *request, index int) {
 	if q.pieces[index].open == 0 && !q.pieces[index].settled {
-		s.seek(q, index, retried)
+		s.seek(q, index)
 	}
 	s.settleRequest(q)
 }
@@ -526,4 +535,12 @@
 	}
 }
 
+func describeServers(servers []identifier.ServerID) string {
+	names := make([]string, 0, len(servers))
+	for _, id := range servers {
+		names = append(names, string(id))
+	}
+	return strings.Join(names, " ")
+}
+
 func formatCount(n int) string { return strconv.Itoa(n) }
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -191,15 +191,13 @@
 
 // The reasons for a request without an answer.
 const (
-	NoRoute         DeclineReason = "no-route"
-	NoDeclaration   DeclineReason = "no-declaration"
-	NoServer        DeclineReason = "no-server"
-	ServersRefused  DeclineReason = "servers-refused"
-	ServersFailed   DeclineReason = "servers-failed"
-	RequestOverdue  DeclineReason = "timeout"
-	TooManyRequests DeclineReason = "overloaded"
-	TooFewParts     DeclineReason = "too-few-parts"
-	HostStops       DeclineReason = "host-stops"
+	NoRoute        DeclineReason = "no-route"
+	NoDeclaration  DeclineReason = "no-declaration"
+	NoServer       DeclineReason = "no-server"
+	ServersRefused DeclineReason = "servers-refused"
+	ServersFailed  DeclineReason = "servers-failed"
+	RequestOverdue DeclineReason = "timeout"
+	TooFewParts    DeclineReason = "too-few-parts"
 )
 
 // request is one client's request in progress.
@@ -257,7 +255,6 @@
 	rank    identifier.Rank
 	sent    identifier.Instant
 	// hedge is when to send a second attempt beside this one; Never without.
-	hedge   identifier.Instant
-	open    bool
-	purpose purpose
+	hedge identifier.Instant
+	open  bool
 }
