--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -479,6 +479,14 @@
 			all = append(all, s.control.roster.followers[id]...)
 		}
 	}
+	if s.control.learnt {
+		return all
+	}
+	for _, h := range s.control.roster.remembered {
+		if !slices.ContainsFunc(all, func(known router.Host) bool { return known.ID == h.ID }) {
+			all = append(all, h)
+		}
+	}
 	return all
 }
 
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -207,9 +207,12 @@
 	// stored and storedVersion are what the snapshot on the disk holds, written at storedAt.
 	stored        RosterRevision
 	storedVersion identifier.Version
-	storedAt      identifier.Instant
-	held          *declarer.Declaration
-	routes        *matcher.Matcher
+	storedReaders int
+	// remembered are the entry hosts known before this host started; they count until it has learnt.
+	remembered []router.Host
+	storedAt   identifier.Instant
+	held       *declarer.Declaration
+	routes     *matcher.Matcher
 }
 
 type knownControl struct {
@@ -414,6 +417,9 @@
 	Servers []Listed `msgpack:"s"`
 	// Source is a declaration that was committed; its version is 0 when there is none.
 	Source declarer.Source `msgpack:"d"`
+	// Readers are the entry hosts of the deployment. Those that start with this host must know
+	// how many share the servers before all of them have been heard.
+	Readers []router.Host `msgpack:"r"`
 }
 
 // StoreRoster asks for a snapshot to be stored in place of the one before. It need not
@@ -428,12 +434,14 @@
 func (s *State) storeRoster() {
 	r := &s.control.roster
 	source := s.control.replicated.source.Source
-	due := r.revision != r.stored && s.now.Since(r.storedAt) >= RosterStoreInterval
+	readers := s.allReaders()
+	changed := r.revision != r.stored || len(readers) != r.storedReaders
+	due := changed && s.control.learnt && s.now.Since(r.storedAt) >= RosterStoreInterval
 	if (!due && source.Version == r.storedVersion) || s.control.replication.log == nil {
 		return
 	}
-	r.stored, r.storedVersion, r.storedAt = r.revision, source.Version, s.now
-	s.emit(StoreRoster{Snapshot: RosterSnapshot{Servers: r.since(0), Source: source}})
+	r.stored, r.storedVersion, r.storedReaders, r.storedAt = r.revision, source.Version, len(readers), s.now
+	s.emit(StoreRoster{Snapshot: RosterSnapshot{Servers: r.since(0), Source: source, Readers: readers}})
 }
 
 // restoreRoster takes in what was stored before this host started. Servers that are gone
@@ -444,6 +452,7 @@
 		s.control.replicated.source = declared{stored.Source}
 		s.adoptDeclaration()
 	}
+	s.control.roster.remembered = stored.Readers
 	for _, l := range stored.Servers {
 		if l.Standing == Present {
 			s.hearServer(s.now, l.Announcement)
--- a/pkg/reducer/fleet_test.go
+++ b/pkg/reducer/fleet_test.go
@@ -362,6 +362,25 @@
 		gomega.Expect(fleet.Sharers).To(gomega.Equal(reducer.Sharers{Near: 1, Far: 2}))
 		gomega.Expect(fleet.Delegates).To(gomega.HaveLen(2))
 	})
+
+	ginkgo.It("counts the entry hosts of before when it starts with few of them", func() {
+		w := newSmall()
+		w.declare(1, source(1, "desk"))
+		w.announce(0, announcement("s-1", 1, 1))
+		w.run(5 * identifier.Second)
+		for i := range 3 {
+			w.stop(controlName(i), false)
+			w.stop(entryName(i), false)
+		}
+		for i := range 3 {
+			w.start(controlName(i))
+		}
+		w.start(entryName(0))
+		w.run(identifier.Second)
+		fleet := w.members[entryName(0)].view.Fleet
+		gomega.Expect(fleet.Sharers.Far).To(gomega.BeNumerically(">=", 2))
+		gomega.Expect(fleet.Delegates).To(gomega.HaveLen(2))
+	})
 })
 
 var _ = ginkgo.Describe("a fleet's declaration", func() {
