platform/imitator: keep the soak's side of the platform's protocol in the adapter's folder

Cause: the check that the platform's names stay inside found them in the soak. Change: fake servers, clients and operators move to a package there; the soak keeps faults and promises.

--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -1,14 +1,12 @@
 package main_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +19,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/relayer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/platform/imitator"
 )
 
 var (
@@ -29,6 +28,9 @@
 	soakSpan  = flag.Duration("soak-span", 8*time.Second, "how long the fault soak injects faults for each seed")
 )
 
+// soakAnnouncement separates the announcements of a fake server.
+const soakAnnouncement = 300 * time.Millisecond
+
 // Ports of a soaked host; the relay listens at the port that names it to others.
 const (
 	soakPeerPort = 7400 + iota
@@ -56,7 +58,7 @@
 	random     *rand.Rand
 	deployment *deployment
 	hosts      []*soakHost
-	servers    *soakServers
+	servers    *imitator.Servers
 	done       chan struct{}
 	clients    sync.WaitGroup
 
@@ -73,17 +75,17 @@
 	s := &soak{random: rand.New(rand.NewPCG(seed, 0)), deployment: newDeployment(number), done: make(chan struct{})}
 	prefix := s.deployment.ip[:strings.LastIndexByte(s.deployment.ip, '.')]
 	var seeds []identifier.Address
-	for i := range 2 * soakDomains {
+	for i := range 2 * imitator.Domains {
 		h := &soakHost{ip: fmt.Sprintf("%s.%d", prefix, 110+i)}
 		s.hosts = append(s.hosts, h)
-		if i < soakDomains {
+		if i < imitator.Domains {
 			seeds = append(seeds, identifier.Address(h.address(soakControlPort)))
 		}
 	}
 	var controls []string
 	for i, h := range s.hosts {
 		h.settings = loader.Settings{
-			Host: identifier.HostID(h.address(soakPeerPort)), Domain: identifier.DomainID(fmt.Sprintf("fd-%d", i%soakDomains)),
+			Host: identifier.HostID(h.address(soakPeerPort)), Domain: identifier.DomainID(fmt.Sprintf("fd-%d", i%imitator.Domains)),
 			Listen: loader.Listen{
 				Operators: identifier.Address(h.address(soakOperatorPort)), Peers: identifier.Address(h.address(soakPeerTarget)),
 			},
@@ -91,7 +93,7 @@
 		}
 		h.settings.Fleet.ExtraAttempts.Share, h.settings.Fleet.ExtraAttempts.Slack = 0.2, 50
 		h.settings.Fleet.ExtraAttempts.WindowMillis = 10000
-		if i < soakDomains {
+		if i < imitator.Domains {
 			controls = append(controls, h.address(soakControlPort))
 			h.settings.Listen.BackendServers = identifier.Address(h.address(soakControlPort))
 			h.settings.Control.DataFolder = filepath.Join(s.deployment.folder, fmt.Sprintf("data-%d", i))
@@ -109,8 +111,10 @@
 		ginkgo.DeferCleanup(h.relay.Close)
 		s.start(h)
 	}
-	s.servers = newSoakServers(controls)
-	ginkgo.DeferCleanup(s.servers.close)
+	var err error
+	s.servers, err = imitator.NewServers(controls, soakAnnouncement)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(s.servers.Close)
 	return s
 }
 
@@ -128,26 +132,15 @@
 	s.broken = append(s.broken, fmt.Sprintf(format, values...))
 }
 
-// declare sends the next version to a control host and notes whether it was acknowledged.
+// declare sends a version to a control host and notes whether it was acknowledged.
 func (s *soak) declare(version int) bool {
-	shards := make([]string, soakShards)
-	services := `{"name":"ledger","maxConns":30}`
-	for i := range shards {
-		shards[i] = fmt.Sprintf("%q", fmt.Sprintf("shard-%d", i))
-		services += fmt.Sprintf(`,{"name":%s,"maxConns":30}`, shards[i])
-	}
-	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"search","hostname":"soak.example","pathPrefix":"/search/",
-		"routeKind":"idempotent","timeoutMs":800,"targetLatencyMs":150,"attempts":2,"gather":[%s],"topK":%d,"minCoverage":0.5},
-		{"name":"post","hostname":"soak.example","pathPrefix":"/post/","routeKind":"non_idempotent","timeoutMs":800,
-		"targetLatencyMs":300,"attempts":2,"backend":"ledger"}],"services":[%s],"limits":{"maxBodyBytes":1000}}`,
-		version, strings.Join(shards, ","), soakGreatest, services)
-	status, _, _ := soakCall("PUT", s.hosts[version%soakDomains].address(soakControlPort), "/config", body, "")
-	if status == 200 {
+	acknowledged := imitator.Declare(s.hosts[version%imitator.Domains].address(soakControlPort), version)
+	if acknowledged {
 		s.mutex.Lock()
 		s.acknowledged = max(s.acknowledged, version)
 		s.mutex.Unlock()
 	}
-	return status == 200
+	return acknowledged
 }
 
 // read reads the declaration at a control host; it must not be older than what was
@@ -156,58 +149,34 @@
 	s.mutex.Lock()
 	least := s.acknowledged
 	s.mutex.Unlock()
-	status, _, body := soakCall("GET", s.hosts[host].address(soakControlPort), "/config", "", "")
-	if status != 200 {
+	version, err := imitator.Declared(s.hosts[host].address(soakControlPort))
+	if errors.Is(err, imitator.ErrNoAnswer) {
 		return 0
 	}
-	var version int
-	if _, err := fmt.Sscanf(string(body), `{"version":%d`, &version); err != nil || version < least {
-		s.fail("a read gave version %d after %d was acknowledged", version, least)
+	if err != nil || version < least {
+		s.fail("a read gave version %d after %d was acknowledged: %v", version, least, err)
 	}
 	return version
 }
 
-// soakCall makes a call on a connection of its own; the status is 0 when it fails.
-func soakCall(method, address, path, body, id string) (int, http.Header, []byte) {
-	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	request.Host, request.Close = "soak.example", true
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "800")
-	response, err := (&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
-	if err != nil {
-		return 0, nil, nil
+// search asks an entry host and reports whether the answer was complete.
+func (s *soak) search(host int, id string) bool {
+	missing, err := imitator.Search(s.hosts[host].address(soakFrontPort), id)
+	if errors.Is(err, imitator.ErrNoAnswer) {
+		return false
 	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil, nil
-	}
-	return response.StatusCode, response.Header, content
-}
-
-// search asks an entry host and reports how many parts the answer misses; -1 is no answer.
-func (s *soak) search(host int, id string) int {
-	path := "/search/" + id
-	status, header, body := soakCall("GET", s.hosts[host].address(soakFrontPort), path, "", id)
-	if status != 200 {
-		return -1
-	}
-	if fault := checkSearch(header, body, id, path); fault != "" {
-		s.fail("%s", fault)
+		s.fail("%v", err)
 	}
 	s.mutex.Lock()
 	s.served++
 	s.mutex.Unlock()
-	missing, err := strconv.Atoi(header.Get("X-Missing-Parts"))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return missing
+	return missing == 0
 }
 
 // post sends work that must run once at most.
 func (s *soak) post(host int, id string) {
-	status, _, _ := soakCall("POST", s.hosts[host].address(soakFrontPort), "/post/"+id, "work", id)
-	if status == 503 || status == 429 {
+	if imitator.Post(s.hosts[host].address(soakFrontPort), id) {
 		s.mutex.Lock()
 		s.promised = append(s.promised, id)
 		s.mutex.Unlock()
@@ -224,12 +193,12 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		id := fmt.Sprintf("%d-%d", worker, i)
-		host := soakDomains + (i+worker)%soakDomains
+		host := imitator.Domains + (i+worker)%imitator.Domains
 		switch {
 		case worker == 0 && i%20 == 0:
 			s.declare(2 + i)
 		case worker == 1 && i%10 == 0:
-			s.read(i % soakDomains)
+			s.read(i % imitator.Domains)
 		case i%5 == 0:
 			s.post(host, id)
 		default:
@@ -291,8 +260,8 @@
 // whole reports whether every entry host answers searches in full and every control host
 // reads what was acknowledged.
 func (s *soak) whole(try int) bool {
-	for i := range soakDomains {
-		if s.search(soakDomains+i, fmt.Sprintf("end-%d-%d", try, i)) != 0 || s.read(i) < s.acknowledged {
+	for i := range imitator.Domains {
+		if !s.search(imitator.Domains+i, fmt.Sprintf("end-%d-%d", try, i)) || s.read(i) < s.acknowledged {
 			return false
 		}
 	}
@@ -327,15 +296,14 @@
 
 // settle checks what can be known only at the end.
 func (s *soak) settle(seed uint64) {
-	s.servers.mutex.Lock()
-	defer s.servers.mutex.Unlock()
-	for id, n := range s.servers.runs {
+	runs := s.servers.Runs()
+	for id, n := range runs {
 		if n > 1 {
 			s.fail("%s ran %d times", id, n)
 		}
 	}
 	for _, id := range s.promised {
-		if s.servers.runs[id] > 0 {
+		if runs[id] > 0 {
 			s.fail("%s was answered as not run and ran", id)
 		}
 	}
