pkg/reducer: leave unreachable servers alone, refuse early without a server

Found by reading. Change: a server that nobody answers at is left alone for 100 ms, doubling to 1 s; a request to one service that finds no server is refused, as not run, within a quarter of its objective.

--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -40,6 +40,13 @@
 	// which new work may be late there.
 	stallFactor = 3
 	stallFloor  = 60 * identifier.Millisecond
+	// firstAway is how long a server is left alone after an attempt that reached nobody, and
+	// longestAway the longest such time: a server that has crashed is back after some seconds.
+	firstAway   = 100 * identifier.Millisecond
+	longestAway = 1 * identifier.Second
+	// refusalDivisor is the part of the objective within which a request without a server is
+	// refused, while the client can still turn elsewhere in time.
+	refusalDivisor = 4
 	// misdirectionTerm is how long a server is left alone after another one answered at its address.
 	misdirectionTerm = 5 * identifier.Second
 )
@@ -54,8 +61,20 @@
 	answered identifier.Instant
 	// failures counts the attempts that failed since the last served one.
 	failures int
-	// misdirected is until when the server is known not to be at its address.
-	misdirected identifier.Instant
+	// away is until when the server is left alone, since another one is at its address or
+	// nobody answers there; unreached counts the attempts in a row that reached nobody.
+	away      identifier.Instant
+	unreached int
+}
+
+// notReached leaves the server alone for a time that doubles with each attempt that reached
+// nobody, so that requests don't dial it one after the other.
+func (w *watch) notReached(now identifier.Instant) {
+	if w.away > now {
+		return
+	}
+	w.away = now.Add(min(longestAway, firstAway<<min(w.unreached, 10)))
+	w.unreached++
 }
 
 func (s *State) watch(id identifier.ServerID) *watch {
@@ -85,8 +104,7 @@
 		return
 	}
 	at := s.now.Add(ServerWait)
-	refused := len(w.refused) > 0 && len(q.route.Shards) == 0
-	if at >= q.deadline || s.exhausted(q, w) || refused {
+	if at >= q.deadline || s.exhausted(q, w) || s.refusesEarly(q, w) {
 		s.settlePiece(q, index)
 		return
 	}
@@ -94,6 +112,15 @@
 	w.again = at
 }
 
+// refusesEarly reports whether a request to one service is given up: its servers have refused
+// it, or none has been found while the client can still turn elsewhere.
+func (s *State) refusesEarly(q *request, w *piece) bool {
+	if len(q.route.Shards) > 0 {
+		return false
+	}
+	return len(w.refused) > 0 || s.now.Add(ServerWait) >= q.arrival.Add(q.route.Objective/refusalDivisor)
+}
+
 // exhausted reports whether no further attempt for the piece is allowed.
 func (s *State) exhausted(q *request, w *piece) bool {
 	return w.sent >= max(1, q.route.Attempts) || (w.ran && !q.route.Repeatable)
@@ -287,7 +314,7 @@
 		if slices.Contains(w.tried, b.Server) || slices.Contains(w.refused, b.Server) || !accept(b) {
 			continue
 		}
-		if known, ok := s.traffic.watches[b.Server]; ok && (known.misdirected > s.now || len(known.open) >= int(s.connectionLimit(w.service, b.Domain))) {
+		if known, ok := s.traffic.watches[b.Server]; ok && (known.away > s.now || len(known.open) >= int(s.connectionLimit(w.service, b.Domain))) {
 			continue
 		}
 		detour := identifier.Micros(0)
@@ -418,6 +445,7 @@
 	}
 	latency := s.now.Since(a.sent)
 	s.watch(a.server).answered = s.now
+	s.watch(a.server).unreached = 0
 	if e.Answer.Success {
 		s.measure(a, latency)
 		s.watch(a.server).failures = 0
@@ -470,7 +498,12 @@
 		return
 	}
 	if e.Reason == ExchangeMisdirected {
-		s.watch(a.server).misdirected = s.now.Add(misdirectionTerm)
+		s.watch(a.server).away = s.now.Add(misdirectionTerm)
+	}
+	if e.Reason == ExchangeUnreachable {
+		s.watch(a.server).notReached(s.now)
+	} else {
+		s.watch(a.server).unreached = 0
 	}
 	s.noteFailure(a.server)
 	if q == nil {
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -306,6 +306,43 @@
 		}
 	})
 
+	ginkgo.It("does not dial unreachable servers for every request again and again", func() {
+		e := newEntry(entryFleet())
+		const requests = 20
+		for i := range requests {
+			e.arrive(identifier.RequestID(fmt.Sprint(i)), "/search/1")
+		}
+		dials := 0
+		for ended := 0; ended < len(e.sent); ended++ {
+			x := e.sent[ended]
+			if x.Server[:7] != "shard-0" {
+				e.answer(ended)
+			} else {
+				dials++
+				e.refuse(ended, reducer.ExchangeUnreachable)
+			}
+			if ended == len(e.sent)-1 && e.now < identifier.Instant(searchTimeout) {
+				e.pass(10 * identifier.Millisecond)
+				ended = min(ended, len(e.sent)-1)
+			}
+			for ended == len(e.sent)-1 && e.now < identifier.Instant(searchTimeout) {
+				e.pass(10 * identifier.Millisecond)
+			}
+		}
+		// Each of the three servers is tried by every request that finds it up, and then at
+		// 100, 300 and 700 ms.
+		gomega.Expect(dials).To(gomega.BeNumerically("<=", 3*(requests+4)))
+	})
+
+	ginkgo.It("is declined early when its service has no server", func() {
+		v := entryFleet()
+		v.Backends["archive"] = nil
+		e := newEntry(v)
+		e.arrive("q", "/archive/1")
+		e.pass(200 * identifier.Millisecond)
+		gomega.Expect(e.outcomes["q"]).To(declined(reducer.NoServer, reducer.RanNo))
+	})
+
 	ginkgo.It("keeps what it sends again within the budget", func() {
 		e := newEntry(entryFleet())
 		const requests = 500
