pkg/router: weigh each host once, and list the readers once for each change

Cause: each answer to a reader listed all entry hosts twice and chose its delegates with a hash for every pair of them. Found by reading the change again. settleDelegated lists what is in once, in place of two nested branches.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -392,29 +392,25 @@
 		s.armRequest(q)
 		return
 	}
-	if a.flushed {
-		for i := range q.pieces {
-			if q.pieces[i].answer != nil && !a.told[i] {
-				s.sendParts(q, a, []int{i}, false)
-			}
-		}
-	} else if ended || s.now >= q.objective {
-		a.flushed = true
-		var in []int
-		for i := range q.pieces {
-			if q.pieces[i].answer != nil {
-				in = append(in, i)
-			}
-		}
-		if len(in) > 0 && !ended {
-			s.sendParts(q, a, in, false)
+	var in []int
+	for i := range q.pieces {
+		if q.pieces[i].answer != nil && !a.told[i] {
+			in = append(in, i)
 		}
-		if ended {
-			s.sendParts(q, a, in, true)
-			s.dropRequest(q)
-			return
+	}
+	switch {
+	case a.flushed:
+		for _, i := range in {
+			s.sendParts(q, a, []int{i}, false)
 		}
+	case ended:
+		s.sendParts(q, a, in, true)
+		s.dropRequest(q)
+		return
+	case s.now >= q.objective && len(in) > 0:
+		s.sendParts(q, a, in, false)
 	}
+	a.flushed = a.flushed || s.now >= q.objective
 	s.sendFailed(q, a)
 	if ended {
 		s.emit(Send{To: a.host, Event: PartsCame{From: s.parameters.Host, Request: a.request, Ended: true}})
@@ -464,11 +460,11 @@
 
 // delegatesOf returns the entry hosts of other failure domains that gather parts for a
 // reader. Rendezvous hashing spreads the readers over them.
-func (s *State) delegatesOf(id identifier.HostID, to *reader) []router.Host {
+func delegatesOf(id identifier.HostID, to *reader, all []router.Host) []router.Host {
 	if !to.serves {
 		return nil
 	}
-	return router.Beyond(id, to.domain, s.allReaders(), DelegatesPerDomain)
+	return router.Beyond(id, to.domain, all, DelegatesPerDomain)
 }
 
 // allReaders returns the entry hosts of the deployment, as far as this host knows.
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -469,14 +469,13 @@
 }
 
 func (s *State) askRoster(id identifier.HostID) {
-	serves := id == s.control.roster.source
 	s.emit(Send{To: id, Event: RosterWanted{
 		Host:    s.parameters.Host,
 		Domain:  s.parameters.Domain,
 		Held:    s.control.roster.positions[id],
 		Version: s.control.version,
 		Company: s.control.roster.companies[id],
-		Serves:  serves,
+		Serves:  id == s.control.roster.source,
 	}})
 }
 
@@ -496,11 +495,11 @@
 	known.held = e.Held
 	known.version = e.Version
 	known.company = e.Company
-	s.sendRoster(e.Host, known)
+	s.sendRoster(e.Host, known, s.allReaders())
 }
 
-// sendRoster sends a reader what it lacks.
-func (s *State) sendRoster(id identifier.HostID, to *reader) {
+// sendRoster sends a reader what it lacks; all are the entry hosts of the deployment.
+func (s *State) sendRoster(id identifier.HostID, to *reader, all []router.Host) {
 	r := &s.control.roster
 	sent := RosterSent{
 		From:     s.parameters.Host,
@@ -516,8 +515,8 @@
 	}
 	company := Company{
 		Controls:  append(s.otherControls(), s.control.self),
-		Sharers:   s.sharersOf(to.domain),
-		Delegates: s.delegatesOf(id, to),
+		Sharers:   sharersOf(to.domain, all),
+		Delegates: delegatesOf(id, to, all),
 	}
 	if digest := company.digest(); digest != to.company {
 		sent.Company = &company
@@ -533,11 +532,12 @@
 
 // tellReaders sends those that follow this host what has changed; others ask.
 func (s *State) tellReaders() {
+	all := s.allReaders()
 	for _, id := range sortedKeys(s.control.roster.readers) {
 		known := s.control.roster.readers[id]
 		if s.now.Since(known.heard) < ReaderSilence {
 			if known.serves {
-				s.sendRoster(id, known)
+				s.sendRoster(id, known, all)
 			}
 			continue
 		}
@@ -553,10 +553,10 @@
 	Far  int `msgpack:"f"`
 }
 
-// sharersOf counts the entry hosts of the deployment as a host of the domain sees them.
-func (s *State) sharersOf(domain identifier.DomainID) Sharers {
+// sharersOf counts the entry hosts as a host of the domain sees them.
+func sharersOf(domain identifier.DomainID, all []router.Host) Sharers {
 	var n Sharers
-	for _, h := range s.allReaders() {
+	for _, h := range all {
 		if h.Domain == domain {
 			n.Near++
 			continue
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -10,8 +10,8 @@
 package router
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,28 +54,29 @@
 // number of each domain: those of the highest hashes with its id, so that hosts spread
 // evenly over them, in order of id.
 func Beyond(id identifier.HostID, domain identifier.DomainID, hosts []Host, count int) []Host {
-	remaining := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Domain == domain })
-	var chosen []Host
-	for _, h := range remaining {
-		ahead := 0
-		for _, other := range remaining {
-			if other.Domain == h.Domain && weighsMore(other, h, string(id)) {
-				ahead++
-			}
+	type weighed struct {
+		host   Host
+		weight uint64
+	}
+	domains := map[identifier.DomainID][]weighed{}
+	for _, h := range hosts {
+		if h.Domain != domain {
+			domains[h.Domain] = append(domains[h.Domain], weighed{h, weight(h.ID, string(id))})
 		}
-		if ahead < count {
-			chosen = append(chosen, h)
+	}
+	var chosen []Host
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b weighed) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.host.ID, b.host.ID))
+		})
+		for _, w := range list[:min(count, len(list))] {
+			chosen = append(chosen, w.host)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(chosen, func(a, b Host) int { return cmp.Compare(a.ID, b.ID) })
 	return chosen
 }
 
-func weighsMore(a, b Host, key string) bool {
-	x, y := weight(a.ID, key), weight(b.ID, key)
-	return x > y || (x == y && a.ID < b.ID)
-}
-
 func weight(host identifier.HostID, key string) uint64 {
 	return xxhash.Sum64String(string(host) + "\x00" + key)
 }
