pkg/reducer: end the spin of a host that looks for a server again for another host

Cause: a part gathered for another host that is sent again after its flush had, without 20 measured latencies, a hedge due at the instant of the send. The hedge was not allowed, so it was set to now plus the time elapsed, which was 0; fire() handled it again at the same instant, for ever.

Change: a delegated request has the flush as its objective, a hedge is never due or due again in less than the slack of a hedge, and timers scheduled while timers fire wait for the next wake-up. The test fails on the code before ("the state spins"); passing time in the tests of requests is now bounded in wake-ups.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -360,6 +360,7 @@
 		asker:          &hostAsker{host: e.From, request: e.Request, told: make([]bool, len(e.Services))},
 		route: &declarer.Route{
 			ID: "for-another-host", Repeatable: true, Attempts: 1, Greatest: e.Greatest, Shards: e.Services,
+			Objective: e.Flush,
 		},
 		version:   s.traffic.view.Configuration,
 		rank:      min(e.Rank, identifier.RankCount-1),
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -359,8 +359,8 @@
 		if q.pieces[a.piece].settled || q.pieces[a.piece].open > 1 {
 			continue
 		}
-		if !s.send(q, a.piece) && s.now.Add(elapsed) < q.deadline {
-			a.hedge = s.now.Add(elapsed)
+		if next := s.now.Add(max(elapsed, hedgeSlack)); !s.send(q, a.piece) && next < q.deadline {
+			a.hedge = next
 		}
 	}
 }
@@ -371,7 +371,7 @@
 		usual = q.route.Objective / unknownUsual
 	}
 	lead := identifier.Micros(hedgeLead*float64(usual)) + hedgeSlack
-	at := max(s.now.Add(usual), q.objective.Add(-lead))
+	at := max(s.now.Add(max(usual, hedgeSlack)), q.objective.Add(-lead))
 	if at >= q.deadline {
 		return identifier.Never
 	}
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -103,10 +103,15 @@
 	}
 }
 
+// wakesPerMillisecond bounds the wake-ups in a span: more mean that the state spins.
+const wakesPerMillisecond = 10
+
 // pass lets time pass, with every wake-up on the way.
 func (e *entry) pass(span identifier.Micros) {
 	end := e.now.Add(span)
-	for e.wake <= end {
+	for wakes := identifier.Micros(0); e.wake <= end; wakes++ {
+		gomega.Expect(wakes).To(gomega.BeNumerically("<=", wakesPerMillisecond*span/identifier.Millisecond+wakesPerMillisecond),
+			"the state spins at %d us", e.now)
 		e.now, e.wake = max(e.now, e.wake), identifier.Never
 		e.reduce(reducer.Woken{})
 	}
@@ -478,6 +483,16 @@
 				e.answer(i)
 			}
 		}, []int{shardCount - 1}, 1},
+		{"are asked for again when no server could be reached", func(e *entry) {
+			for i := 1; i < shardCount; i++ {
+				e.answer(i)
+			}
+			for _, i := range []int{0, shardCount, shardCount + 1} {
+				e.refuse(i, reducer.ExchangeUnreachable)
+			}
+			e.pass(200 * identifier.Millisecond)
+			e.answer(shardCount + 2)
+		}, []int{shardCount - 1, 1}, 0},
 	} {
 		ginkgo.It(c.name+", by the host that gathers", func() {
 			e := newEntry(entryFleet())
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -109,9 +109,11 @@
 	heap.Push(&s.timers, scheduled{at: at, order: s.order, timer: t})
 }
 
-// fire handles every timer that has fallen due.
+// fire handles every timer that has fallen due. Those that are scheduled meanwhile wait for
+// the next wake-up, so that other events come between.
 func (s *State) fire() {
-	for len(s.timers) > 0 && s.timers[0].at <= s.now {
+	last := s.order
+	for len(s.timers) > 0 && s.timers[0].at <= s.now && s.timers[0].order <= last {
 		due := heap.Pop(&s.timers).(scheduled)
 		s.reduceTimer(due.timer)
 	}
