pkg/assessor, pkg/reducer: judge slow servers by what all hosts of a domain measure

Cause: each entry host judged servers by its own answers. On the grown sites it sends a server 1.4 attempts a second, so that it took about six seconds to leave a slow one, and its estimate faded before the server had recovered.

Ruled out: load reported by servers (may be late or false), a higher weight for each answer (a pause of a server, 4% of the time, would move its work to other domains), verdicts on servers of other domains (a cut looks the same).

Change: hosts tell the control host that they follow, every 400 ms, how many answers of the shards' servers of their domain were poor: three usual latencies of the route, failed, lost, unreachable. pkg/assessor adds them up with a half-life of 800 ms; the list of servers carries the verdict. A degraded server gets a twentieth of its work as probes; parts of degraded servers are gathered by another domain like parts without a server.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -52,6 +52,7 @@
 	reducer.PartsWanted{},
 	reducer.PartsCame{},
 	reducer.PartsDropped{},
+	reducer.ServersMeasured{},
 }
 
 var tags = indexTags()
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -44,6 +44,8 @@
 		Request  identifier.RequestID   `msgpack:"r"`
 		Services []identifier.ServiceID `msgpack:"s"`
 		Rank     identifier.Rank        `msgpack:"k"`
+		// Route is what the parts' latencies are compared by.
+		Route declarer.RouteID `msgpack:"i"`
 		// Greatest is how many records of all parts are of use.
 		Greatest int `msgpack:"g"`
 		// Flush is how long to wait for all parts before those that are in are sent, and
@@ -147,17 +149,21 @@
 	}
 }
 
-// groupFar returns, by failure domain, the pieces that have a server there and none in
-// the own domain.
+// groupFar returns, by failure domain, the pieces that have a server there and none to use
+// in the own domain.
 func (s *State) groupFar(q *request) map[identifier.DomainID][]int {
 	groups := map[identifier.DomainID][]int{}
 	for i := range q.pieces {
-		backends := s.traffic.view.Fleet.Backends[q.pieces[i].service]
-		if slices.ContainsFunc(backends, func(b Backend) bool { return b.Domain == s.parameters.Domain && !b.Silent }) {
+		w := &q.pieces[i]
+		backends := s.traffic.view.Fleet.Backends[w.service]
+		if slices.ContainsFunc(backends, func(b Backend) bool {
+			return b.Domain == s.parameters.Domain && !b.Silent && !w.avoids(&b)
+		}) {
 			continue
 		}
 		for b := range backends {
-			if d := backends[b].Domain; !backends[b].Silent && !slices.Contains(groups[d], i) {
+			d := backends[b].Domain
+			if d != s.parameters.Domain && !backends[b].Silent && !slices.Contains(groups[d], i) {
 				groups[d] = append(groups[d], i)
 			}
 		}
@@ -193,7 +199,7 @@
 func (s *State) askDelegate(q *request, host identifier.HostID, pieces []int) {
 	d := &delegation{host: host, pieces: pieces, open: true}
 	wanted := PartsWanted{
-		From: s.parameters.Host, Request: q.Request, Rank: q.rank, Greatest: q.route.Greatest,
+		From: s.parameters.Host, Request: q.Request, Rank: q.rank, Route: q.route.ID, Greatest: q.route.Greatest,
 		Remaining: q.deadline.Since(s.now), Parcel: q.Parcel,
 	}
 	usual := identifier.Micros(0)
@@ -359,7 +365,7 @@
 		RequestArrived: RequestArrived{Request: id, Parcel: e.Parcel},
 		asker:          &hostAsker{host: e.From, request: e.Request, told: make([]bool, len(e.Services))},
 		route: &declarer.Route{
-			ID: "for-another-host", Repeatable: true, Attempts: 1, Greatest: e.Greatest, Shards: e.Services,
+			ID: e.Route, Repeatable: true, Attempts: 1, Greatest: e.Greatest, Shards: e.Services,
 			Objective: e.Flush,
 		},
 		version:   s.traffic.view.Configuration,
@@ -371,7 +377,7 @@
 	}
 	q.late = q.deadline
 	for _, service := range e.Services {
-		q.pieces = append(q.pieces, piece{service: service, again: identifier.Never})
+		q.pieces = append(q.pieces, s.newPiece(service))
 	}
 	s.traffic.requests[id] = q
 	s.seekAll(q)
--- a/pkg/reducer/fleet.go
+++ b/pkg/reducer/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lagooncleat/lagooncleat/pkg/assessor"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
@@ -70,6 +71,8 @@
 	Announcement leaser.Announcement `msgpack:"a"`
 	Standing     Standing            `msgpack:"s"`
 	Revision     RosterRevision      `msgpack:"r"`
+	// Degraded is set while the entry hosts of its failure domain together get poor answers from it.
+	Degraded bool `msgpack:"d"`
 	// changed is when the standing changed last, by the clock of the host that keeps the list.
 	changed identifier.Instant
 }
@@ -213,6 +216,8 @@
 	storedAt   identifier.Instant
 	held       *declarer.Declaration
 	routes     *matcher.Matcher
+	// assessor judges the servers by what the readers of this control host have measured.
+	assessor *assessor.Assessor
 }
 
 type knownControl struct {
@@ -231,6 +236,7 @@
 		positions:     map[identifier.HostID]RosterPosition{},
 		controls:      map[identifier.HostID]knownControl{},
 		sharers:       unknownSharers,
+		assessor:      assessor.New(),
 	}
 }
 
@@ -246,7 +252,13 @@
 		delete(r.addresses, known.Announcement.Address)
 	}
 	r.revision++
-	r.servers[a.Server] = &Listed{Announcement: a, Standing: standing, Revision: r.revision, changed: now}
+	listed := &Listed{Announcement: a, Standing: standing, Revision: r.revision, changed: now}
+	if ok && known.Announcement.Incarnation == a.Incarnation {
+		listed.Degraded = known.Degraded
+	} else {
+		r.assessor.Forget(a.Server)
+	}
+	r.servers[a.Server] = listed
 	if standing != Left {
 		r.addresses[a.Address] = a.Server
 	}
@@ -289,6 +301,7 @@
 	for id, l := range r.servers {
 		if l.Standing != Present && now.Since(l.changed) > RosterMemory {
 			delete(r.servers, id)
+			r.assessor.Forget(id)
 			if r.addresses[l.Announcement.Address] == id {
 				delete(r.addresses, l.Announcement.Address)
 			}
@@ -661,6 +674,7 @@
 		return false
 	}
 	s.control.touched = s.now
+	before := r.source
 	near := r.controls[e.From].host.Domain == s.parameters.Domain
 	if r.source == "" || (near && r.controls[r.source].host.Domain != s.parameters.Domain) {
 		s.log(MembershipSubsystem, Info, "control host followed", Field{"host", string(e.From)})
@@ -670,7 +684,12 @@
 		r.heard = s.now
 		s.control.learnt = s.control.learnt || e.Whole || r.positions[e.From].Revision > 0
 	}
-	return s.control.learnt != learnt
+	if r.source == before {
+		return s.control.learnt != learnt
+	}
+	// The whole list is asked for again, with this control host's verdicts on the servers.
+	delete(r.positions, e.From)
+	return true
 }
 
 // takeCompany takes in who else is in the deployment. A count of entry hosts that has
@@ -713,6 +732,7 @@
 	for _, l := range e.Servers {
 		named[l.Announcement.Server] = true
 		changed = s.takeServer(l) || changed
+		changed = s.takeVerdict(e.From, l) || changed
 	}
 	if !e.Whole || !e.InTouch || !e.Learnt {
 		return changed
@@ -741,6 +761,18 @@
 	return r.note(s.now, l.Announcement, l.Standing)
 }
 
+// takeVerdict takes in whether a server is degraded, from the control host that this host
+// follows: others judge by what the hosts of other failure domains measure.
+func (s *State) takeVerdict(from identifier.HostID, l Listed) bool {
+	known, ok := s.control.roster.servers[l.Announcement.Server]
+	if !ok || from != s.control.roster.source || known.Degraded == l.Degraded ||
+		known.Announcement.Incarnation != l.Announcement.Incarnation {
+		return false
+	}
+	known.Degraded = l.Degraded
+	return true
+}
+
 // ending orders how far a server has come to its end.
 func (l *Listed) ending() int {
 	switch {
@@ -806,6 +838,7 @@
 		Backends:    map[identifier.ServiceID][]Backend{},
 		Sharers:     r.sharers,
 		Delegates:   r.delegates,
+		Source:      r.source,
 	}
 	for i := range r.held.Services {
 		v.Services[r.held.Services[i].ID] = &r.held.Services[i]
@@ -816,7 +849,9 @@
 			continue
 		}
 		a := l.Announcement
-		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{Announcement: a, Silent: l.Standing == Silent})
+		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{
+			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded,
+		})
 	}
 	return v
 }
@@ -831,6 +866,8 @@
 	Sharers     Sharers
 	// Delegates are entry hosts of other failure domains that gather parts for this one.
 	Delegates []router.Host
+	// Source is the control host that this host follows; empty while it looks for one.
+	Source identifier.HostID
 }
 
 // Backend is a backend server that may take work.
@@ -838,4 +875,6 @@
 	leaser.Announcement
 	// Silent is set while the server does not announce itself; it may still run.
 	Silent bool
+	// Degraded is set while the hosts of its failure domain get poor answers from it.
+	Degraded bool
 }
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -105,7 +105,7 @@
 	}
 	q.late = min(q.deadline, s.now.Add(2*route.Objective))
 	for _, id := range s.divide(route) {
-		q.pieces = append(q.pieces, piece{service: id, again: identifier.Never})
+		q.pieces = append(q.pieces, s.newPiece(id))
 	}
 	s.count(RequestsCounter, "", q.rank)
 	s.traffic.requests[e.Request] = q
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -165,6 +165,8 @@
 		s.control.roster.followers[e.From] = e.Readers
 	case SeedsChanged:
 		s.changeSeeds(e)
+	case ServersMeasured:
+		s.assess(e)
 	}
 }
 
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -152,8 +152,8 @@
 	}
 	s.require(q.route.Repeatable || (!w.ran && w.open == 0), OnceOnlyInvariant, q.Parcel.Client)
 	a := &sending{
-		piece: index, service: w.service, server: backend.Server, rank: q.rank,
-		sent: s.now, hedge: identifier.Never, open: true,
+		piece: index, route: q.route.ID, service: w.service, server: backend.Server, rank: q.rank,
+		tallied: len(q.route.Shards) == 0 || backend.Domain != s.parameters.Domain, sent: s.now, hedge: identifier.Never, open: true,
 	}
 	a.hedge = s.hedgeInstant(q, a)
 	q.attempts = append(q.attempts, a)
@@ -261,10 +261,11 @@
 }
 
 // chooseBackend picks the server for an attempt: first among those that are neither
-// silent nor stalled, then among the silent ones.
+// silent, degraded nor stalled, then among the stalled, the degraded and the silent ones in turn.
 func (s *State) chooseBackend(q *request, w *piece) (*Backend, bool) {
 	for _, accept := range []func(*Backend) bool{
-		func(b *Backend) bool { return !b.Silent && !s.stalls(w.service, b) },
+		func(b *Backend) bool { return !b.Silent && !w.avoids(b) && !s.stalls(w.service, b) },
+		func(b *Backend) bool { return !b.Silent && !w.avoids(b) },
 		func(b *Backend) bool { return !b.Silent },
 		func(*Backend) bool { return true },
 	} {
@@ -380,6 +381,9 @@
 
 // noteWait takes in that an attempt has waited in vain, unless a short pause explains it.
 func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
+	if s.poor(a, elapsed) {
+		s.tally(a, true)
+	}
 	if elapsed > stallFloor {
 		s.traffic.chooser.Wait(s.now, a.server, elapsed)
 	}
@@ -419,6 +423,8 @@
 func (s *State) measure(a *sending, latency identifier.Micros) {
 	known := s.traffic.service(a.service)
 	known.hedger.Observe(a.rank, latency)
+	s.tally(a, s.poor(a, latency))
+	s.traffic.pace(a.route).Observe(a.rank, latency)
 	s.emit(Time{Histogram: ExchangeHistogram, Rank: a.rank, Span: latency})
 	if usual, _ := known.hedger.Usual(a.rank); usual > 0 {
 		s.traffic.chooser.ServeAmong(s.now, a.server, latency, usual)
@@ -429,11 +435,11 @@
 
 // noteFailure takes in that an attempt failed. A single failure among served attempts
 // is no reason to leave a server alone, which would send its work to other domains.
-func (s *State) noteFailure(id identifier.ServerID) {
-	w := s.watch(id)
+func (s *State) noteFailure(a *sending) {
+	w := s.watch(a.server)
 	w.failures++
 	if w.failures > 1 {
-		s.traffic.chooser.Fail(s.now, id)
+		s.traffic.chooser.Fail(s.now, a.server)
 	}
 }
 
@@ -450,7 +456,8 @@
 		s.measure(a, latency)
 		s.watch(a.server).failures = 0
 	} else {
-		s.noteFailure(a.server)
+		s.tally(a, true)
+		s.noteFailure(a)
 	}
 	if q == nil {
 		return
@@ -501,11 +508,12 @@
 		s.watch(a.server).away = s.now.Add(misdirectionTerm)
 	}
 	if e.Reason == ExchangeUnreachable {
+		s.tally(a, true)
 		s.watch(a.server).notReached(s.now)
 	} else {
 		s.watch(a.server).unreached = 0
 	}
-	s.noteFailure(a.server)
+	s.noteFailure(a)
 	if q == nil {
 		return
 	}
@@ -531,7 +539,8 @@
 		s.noteWait(a, s.now.Since(a.sent))
 		return
 	}
-	s.noteFailure(a.server)
+	s.tally(a, true)
+	s.noteFailure(a)
 	q.pieces[a.piece].ran, q.ran = true, true
 	s.logRequest(q, Info, "attempt lost", Field{"server", string(a.server)},
 		Field{"service", string(a.service)}, Field{"reason", e.Reason})
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -152,6 +152,8 @@
 		s.readRosters()
 	case requestDue:
 		s.reviewRequest(t)
+	case measurementDue:
+		s.tellMeasurements()
 	}
 }
 
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -245,11 +245,14 @@
 	failure *ServerAnswer
 	// again is when to look for a server again; Never while nothing is waited for.
 	again identifier.Instant
+	// probes is set when the piece may go to a degraded server.
+	probes bool
 }
 
 // sending is one attempt of a request. It outlives the request until its exchange ends.
 type sending struct {
 	piece   int
+	route   declarer.RouteID
 	service identifier.ServiceID
 	server  identifier.ServerID
 	rank    identifier.Rank
@@ -257,4 +260,7 @@
 	// hedge is when to send a second attempt beside this one; Never without.
 	hedge identifier.Instant
 	open  bool
+	// tallied is set once the attempt counts in what is told of its server, and from the
+	// beginning when it does not count.
+	tallied bool
 }
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -49,6 +49,8 @@
 	estimateDue struct{}
 	// rosterDue asks control hosts for changes in the list of backend servers.
 	rosterDue struct{}
+	// measurementDue asks traffic to tell what it has measured of the servers.
+	measurementDue struct{}
 	// requestDue looks at a request when a hedge, a retry, its objective or its deadline
 	// comes; at tells it from an older timer.
 	requestDue struct {
@@ -71,6 +73,7 @@
 func (operationDue) isTimer()   {}
 func (replicationDue) isTimer() {}
 func (rosterDue) isTimer()      {}
+func (measurementDue) isTimer() {}
 func (requestDue) isTimer()     {}
 
 type scheduled struct {
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/admitter"
+	"github.com/lagooncleat/lagooncleat/pkg/assessor"
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
@@ -56,6 +57,10 @@
 	extras map[identifier.ServiceID]*extra
 	// splitters divide the requests of split routes.
 	splitters map[declarer.RouteID]*splitter.Splitter
+	// paces are the latencies of each route's attempts, over all services.
+	paces map[declarer.RouteID]*hedger.Hedger
+	// measured is what control hosts have not been told of the servers yet.
+	measured map[identifier.ServerID]assessor.Tally
 }
 
 // service is what a state measured of one service, and its budgets of extra attempts.
@@ -84,6 +89,8 @@
 		watches:   map[identifier.ServerID]*watch{},
 		extras:    map[identifier.ServiceID]*extra{},
 		splitters: map[declarer.RouteID]*splitter.Splitter{},
+		paces:     map[declarer.RouteID]*hedger.Hedger{},
+		measured:  map[identifier.ServerID]assessor.Tally{},
 	}
 }
 
