pkg/chooser: let old distances fade, and let no single pause move work away

A pause after some seconds without a sample counted for up to two fifths of an estimate.

Ruled out: connection limits (139 attempts), verdicts of control hosts (1,515, as meant), stalls (128).

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -136,7 +136,7 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	base := c.survey(candidates)
+	base := c.survey(now, candidates)
 	c.costs = c.costs[:0]
 	best := math.Inf(1)
 	for i := range candidates {
@@ -170,7 +170,7 @@
 
 // survey returns what the candidates are compared with. A new incarnation loses
 // the measurements of the one before.
-func (c *Chooser) survey(candidates []Candidate) survey {
+func (c *Chooser) survey(now identifier.Instant, candidates []Candidate) survey {
 	base := survey{coldness: 1}
 	for i := range candidates {
 		r := c.record(candidates[i].Server)
@@ -180,7 +180,7 @@
 		if r.estimate > 0 && (base.estimate == 0 || r.estimate < base.estimate) {
 			base.estimate = r.estimate
 		}
-		if floor := r.least(); floor > 0 && (base.floor == 0 || floor < base.floor) {
+		if floor := r.least(now); floor > 0 && (base.floor == 0 || floor < base.floor) {
 			base.floor = floor
 		}
 		base.coldness = min(base.coldness, c.coldness(&candidates[i]))
@@ -205,7 +205,7 @@
 	slowness := r.slowness(now, base.estimate)
 	cost := base.estimate * max(1, slowness/tolerance) * (1 + float64(r.ahead(candidate.Rank))/float64(max(1, candidate.Slots)))
 	cost += float64(candidate.Detour)
-	if floor := r.least(); floor > 0 {
+	if floor := r.least(now); floor > 0 {
 		cost += float64(floor - base.floor)
 	}
 	if r.blockedUntil > now {
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -13,7 +13,10 @@
 	// usual for the service: one pause of a server delays many attempts.
 	outlierFactor = 8
 	// priorSamples is how many samples the usual latency of the service counts for.
-	priorSamples = 2
+	priorSamples = 5
+	// agedWeight bounds the weight of a latency that comes long after the one before: a pause of a
+	// server must not move its work away by itself.
+	agedWeight = 0.15
 	// waitWeight is the least weight of a wait in vain that is longer than the estimate.
 	// It is the larger, since each state must learn of a slow server from a few attempts.
 	waitWeight = 0.3
@@ -79,8 +82,12 @@
 	r.floorSince = now
 }
 
-// least returns the least latency of late, in microseconds; 0 is unknown.
-func (r *record) least() identifier.Micros {
+// least returns the least latency of late, in microseconds; 0 is unknown. A server without new
+// samples is not kept at a distance by old ones.
+func (r *record) least(now identifier.Instant) identifier.Micros {
+	if now.Since(r.measured) > 2*floorWindow {
+		return 0
+	}
 	if r.floor == 0 || (r.nextFloor > 0 && r.nextFloor < r.floor) {
 		return r.nextFloor
 	}
@@ -96,7 +103,7 @@
 }
 
 // serveAmong takes in a latency of a server whose service has a usual one. The server's
-// estimate begins there, and a sample counts the more the longer ago the last one was.
+// estimate begins there, and a sample counts the more the longer ago the last one was, up to a bound.
 func (r *record) serveAmong(now identifier.Instant, latency, usual identifier.Micros) {
 	least := 1 / float64(r.served+1+priorSamples)
 	if r.estimate == 0 {
@@ -104,7 +111,7 @@
 		r.measured = now
 	}
 	age := float64(now.Since(r.measured)) / float64(estimateHalfLife)
-	weight := max(sampleWeight, least, 1-math.Exp2(-age))
+	weight := max(sampleWeight, least, min(agedWeight, 1-math.Exp2(-age)))
 	r.estimate += (float64(min(latency, outlierFactor*usual)) - r.estimate) * weight
 	r.measured = now
 	// A few slow answers are no sign of distance.
