internal/commander: take a SIGHUP that comes while the process starts

Cause: the handler of SIGHUP was set after the host had started. A signal before that ended the process by default.

Ruled out: the replicated log (the members left did what they should with two of three gone).

Change: the handler is set before the settings are read. The test holds the start up at a pipe in place of the settings file; it failed before. The soak sends SIGHUP only to a process that has written a line, since the runtime handles no signal before.

The soak now plays faults of control hosts, of entry hosts and of servers at the same time, one of each sort: servers that are down, slow, failing or silent, alone or all of a shard; half of its clients keep their connections.

--- a/cmd/lagooncleat/serve_test.go
+++ b/cmd/lagooncleat/serve_test.go
@@ -3,15 +3,20 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
+	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
@@ -81,6 +86,41 @@
 		gomega.Eventually(sessions[0], patience).Should(gexec.Exit(0))
 	})
 
+	ginkgo.It("takes a change of its settings in that comes while it starts", func() {
+		d := newDeployment(3)
+		settings := loader.Settings{
+			Host: identifier.HostID(d.address(7401)), Domain: "fd-1",
+			Listen: loader.Listen{
+				Callers: d.address(7400), Readiness: d.address(7402), Operators: d.address(7403), Peers: d.address(7401),
+			},
+			Fleet: &loader.Fleet{Duty: loader.FleetEntry, Seeds: []identifier.Address{d.address(7404)}, PeerPort: 7401},
+		}
+		text, err := os.ReadFile(d.write("settings.yaml", settings))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		// A pipe holds the start up for as long as the test likes.
+		pipe := filepath.Join(d.folder, "pipe.yaml")
+		gomega.Expect(syscall.Mkfifo(pipe, 0o600)).To(gomega.Succeed())
+		session := d.start(program, "serve", "--settings", pipe)
+		supply := func(before func()) {
+			// This returns once the process reads.
+			writer, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			defer writer.Close()
+			before()
+			_, err = writer.Write(text)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		supply(func() {
+			session.Signal(syscall.SIGHUP)
+			gomega.Consistently(session, "200ms").ShouldNot(gexec.Exit())
+		})
+		gomega.Eventually(session.Out, patience).Should(gbytes.Say("host started"))
+		supply(func() {})
+		gomega.Eventually(session.Out, patience).Should(gbytes.Say("settings reloaded"))
+		session.Terminate()
+		gomega.Eventually(session, patience).Should(gexec.Exit(0))
+	})
+
 	ginkgo.It("rejects malformed requests and stays up", func() {
 		d := newDeployment(2)
 		d.startDesk()
--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -55,12 +55,14 @@
 
 // soak is one seed's run: three control hosts, three entry hosts and what they did wrong.
 type soak struct {
-	random     *rand.Rand
+	seed       uint64
+	operator   *imitator.Caller
+	clients    []*imitator.Caller
 	deployment *deployment
 	hosts      []*soakHost
 	servers    *imitator.Servers
 	done       chan struct{}
-	clients    sync.WaitGroup
+	group      sync.WaitGroup
 
 	mutex sync.Mutex
 	// acknowledged is the highest version of the declaration that was acknowledged.
@@ -72,7 +74,10 @@
 }
 
 func newSoak(number int, seed uint64) *soak {
-	s := &soak{random: rand.New(rand.NewPCG(seed, 0)), deployment: newDeployment(number), done: make(chan struct{})}
+	s := &soak{
+		seed: seed, deployment: newDeployment(number), done: make(chan struct{}), operator: imitator.NewCaller(false),
+		clients: []*imitator.Caller{imitator.NewCaller(false), imitator.NewCaller(true)},
+	}
 	prefix := s.deployment.ip[:strings.LastIndexByte(s.deployment.ip, '.')]
 	var seeds []identifier.Address
 	for i := range 2 * imitator.Domains {
@@ -134,7 +139,7 @@
 
 // declare sends a version to a control host and notes whether it was acknowledged.
 func (s *soak) declare(version int) bool {
-	acknowledged := imitator.Declare(s.hosts[version%imitator.Domains].address(soakControlPort), version)
+	acknowledged := s.operator.Declare(s.hosts[version%imitator.Domains].address(soakControlPort), version)
 	if acknowledged {
 		s.mutex.Lock()
 		s.acknowledged = max(s.acknowledged, version)
@@ -149,7 +154,7 @@
 	s.mutex.Lock()
 	least := s.acknowledged
 	s.mutex.Unlock()
-	version, err := imitator.Declared(s.hosts[host].address(soakControlPort))
+	version, err := s.operator.Declared(s.hosts[host].address(soakControlPort))
 	if errors.Is(err, imitator.ErrNoAnswer) {
 		return 0
 	}
@@ -160,8 +165,8 @@
 }
 
 // search asks an entry host and reports whether the answer was complete.
-func (s *soak) search(host int, id string) bool {
-	missing, err := imitator.Search(s.hosts[host].address(soakFrontPort), id)
+func (s *soak) search(client, host int, id string) bool {
+	missing, err := s.clients[client%len(s.clients)].Search(s.hosts[host].address(soakFrontPort), id)
 	if errors.Is(err, imitator.ErrNoAnswer) {
 		return false
 	}
@@ -176,7 +181,7 @@
 
 // post sends work that must run once at most.
 func (s *soak) post(host int, id string) {
-	if imitator.Post(s.hosts[host].address(soakFrontPort), id) {
+	if s.clients[0].Post(s.hosts[host].address(soakFrontPort), id) {
 		s.mutex.Lock()
 		s.promised = append(s.promised, id)
 		s.mutex.Unlock()
@@ -202,17 +207,59 @@
 		case i%5 == 0:
 			s.post(host, id)
 		default:
-			s.search(host, id)
+			s.search(worker, host, id)
 		}
 	}
 }
 
-// disturb does one thing at random to one host, and undoes it after a while.
-func (s *soak) disturb() {
-	h := s.hosts[s.random.IntN(len(s.hosts))]
-	span := time.Duration(200+s.random.IntN(1500)) * time.Millisecond
+// disturb begins one fault after the other until the soak is done, at random from a source of its own.
+// Faults of control hosts, of entry hosts and of servers overlap; of each sort there is one at a time, since
+// the deployment bears the loss of one control host.
+func (s *soak) disturb(stream uint64, once func(*rand.Rand)) {
+	random := rand.New(rand.NewPCG(s.seed, stream))
+	s.group.Go(func() {
+		defer ginkgo.GinkgoRecover()
+		for {
+			select {
+			case <-s.done:
+				return
+			default:
+				once(random)
+			}
+		}
+	})
+}
+
+// troubleServers does one thing to the servers of a shard, to all of them in one case of four.
+func (s *soak) troubleServers(random *rand.Rand) {
+	shard, trouble := random.IntN(imitator.Shards), imitator.Trouble(random.IntN(int(imitator.TroubleCount)))
+	first, last := 0, imitator.Domains
+	if random.IntN(4) > 0 {
+		first = random.IntN(imitator.Domains)
+		last = first + 1
+	}
+	span := faultSpan(random)
+	ginkgo.GinkgoWriter.Println("servers", shard, first, last, trouble, span)
+	for d := first; d < last; d++ {
+		gomega.Expect(s.servers.Set(shard, d, trouble)).To(gomega.Succeed())
+	}
+	time.Sleep(span)
+	for d := first; d < last; d++ {
+		gomega.Expect(s.servers.Set(shard, d, imitator.Sound)).To(gomega.Succeed())
+	}
+}
+
+// faultSpan draws how long a fault lasts.
+func faultSpan(random *rand.Rand) time.Duration {
+	return time.Duration(200+random.IntN(1500)) * time.Millisecond
+}
+
+// troubleHost does one thing at random to one of some hosts, and undoes it after a while.
+func (s *soak) troubleHost(random *rand.Rand, hosts []*soakHost) {
+	h := hosts[random.IntN(len(hosts))]
+	span := faultSpan(random)
 	signal := func(x syscall.Signal) { h.session.Signal(x) }
-	kind := s.random.IntN(7)
+	kind := random.IntN(7)
 	ginkgo.GinkgoWriter.Println("disturb", h.ip, kind, span)
 	switch kind {
 	case 0:
@@ -233,12 +280,14 @@
 		time.Sleep(span)
 		h.relay.Set(relayer.Flowing{})
 	case 4:
-		h.relay.Set(relayer.Frozen{Forward: s.random.IntN(2) == 0, Backward: true})
+		h.relay.Set(relayer.Frozen{Forward: random.IntN(2) == 0, Backward: true})
 		time.Sleep(span)
 		h.relay.Set(relayer.Flowing{})
 	case 5:
 		s.wipe(h, span)
 	case 6:
+		// Before its first line the runtime may not yet handle signals.
+		gomega.Eventually(h.session.Out.Contents, patience).ShouldNot(gomega.BeEmpty())
 		signal(syscall.SIGHUP)
 		time.Sleep(span / 10)
 	}
@@ -261,7 +310,7 @@
 // reads what was acknowledged.
 func (s *soak) whole(try int) bool {
 	for i := range imitator.Domains {
-		if !s.search(imitator.Domains+i, fmt.Sprintf("end-%d-%d", try, i)) || s.read(i) < s.acknowledged {
+		if !s.search(try, imitator.Domains+i, fmt.Sprintf("end-%d-%d", try, i)) || s.read(i) < s.acknowledged {
 			return false
 		}
 	}
@@ -277,13 +326,14 @@
 			whole := func() bool { try++; return s.whole(try) }
 			gomega.Eventually(whole, patience, "100ms").Should(gomega.BeTrue(), "seed %d at the start", *soakFirst+i)
 			for worker := range 4 {
-				s.clients.Go(func() { s.work(worker) })
-			}
-			for end := time.Now().Add(*soakSpan); time.Now().Before(end); {
-				s.disturb()
+				s.group.Go(func() { s.work(worker) })
 			}
+			s.disturb(1, func(r *rand.Rand) { s.troubleHost(r, s.hosts[:imitator.Domains]) })
+			s.disturb(2, func(r *rand.Rand) { s.troubleHost(r, s.hosts[imitator.Domains:]) })
+			s.disturb(3, s.troubleServers)
+			time.Sleep(*soakSpan)
 			close(s.done)
-			s.clients.Wait()
+			s.group.Wait()
 			gomega.Eventually(whole, patience, "100ms").Should(gomega.BeTrue(), "seed %d at the end", *soakFirst+i)
 			s.settle(*soakFirst + i)
 			for _, h := range s.hosts {
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -51,6 +51,10 @@
 	if c.settings == "" || f.NArg() > 0 {
 		return usage(c.streams, c)
 	}
+	// Before anything else: a SIGHUP that nobody waits for would end the process.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	settings, err := loader.LoadSettings(c.settings)
 	if err != nil {
 		return c.streams.fail(err)
@@ -81,7 +85,7 @@
 	if err != nil {
 		return c.streams.fail(err)
 	}
-	c.reload(stop, r)
+	c.reload(stop, changed, r)
 	r.Shutdown()
 	return subcommands.ExitSuccess
 }
@@ -94,11 +98,8 @@
 	return runner.New(s, c, sockets, loggers)
 }
 
-// reload takes the settings in again after each SIGHUP until the host is to stop.
-func (c *serveCommand) reload(stop context.Context, r *runner.Runner) {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
+// reload takes the settings in again after each signal of a change until the host is to stop.
+func (c *serveCommand) reload(stop context.Context, changed <-chan os.Signal, r *runner.Runner) {
 	for {
 		select {
 		case <-stop.Done():
