pkg/assessor, internal/exchanger: tell failing servers from full ones

Ruled out: late answers of pauses (0.12 of what counts), shedding (not counted).

Change: a tally tells failures from late answers; 0.15 of failures make a server degraded, and six good answers in a row clear it. Losses on a connection that has given no answer yet don't count. A new connection is used once a round trip has passed without a reset; a reset one is reported as not reached, so it takes no attempt.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -17,7 +17,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +36,9 @@
 	// dialTimeout bounds the time to connect to a backend server: a hundred round trips
 	// within a region.
 	dialTimeout = 400 * time.Millisecond
+	// settleMargin is added to the time of the dial, which is a round trip, for the wait on a new
+	// connection: a server resets those beyond its cap as soon as it has seen them.
+	settleMargin = 300 * time.Microsecond
 	// largeRequest is the size from which a request is written on a goroutine of its own,
 	// so that a server that does not read holds nobody else up; socket buffers hold less.
 	largeRequest identifier.Bytes = 16 << 10
@@ -48,6 +54,9 @@
 	bufferSize = 4 << 10
 )
 
+// errUnasked reports bytes on a connection on which nothing was sent.
+var errUnasked = errors.New("bytes that nobody asked for")
+
 // Reply is what a Codec has read.
 type Reply struct {
 	Event reducer.RequestEvent
@@ -198,7 +207,11 @@
 	remaining := f.exchange.Deadline.Since(x.now()).Duration()
 	ctx, cancel := context.WithTimeout(x.context, min(dialTimeout, remaining))
 	defer cancel()
+	began := time.Now()
 	socket, err := dialer.Dial(ctx, f.exchange.Address)
+	if err == nil {
+		err = settle(socket, time.Since(began)+settleMargin)
+	}
 	if err != nil {
 		x.logger.Debug("backend server not reached", "server", f.exchange.Server, "address", f.exchange.Address, "error", err)
 		x.end(f, reducer.ExchangeRefused{
@@ -229,6 +242,29 @@
 	}
 }
 
+// settle waits whether the server resets a new connection, on which nothing has been sent. It
+// closes a connection that can't be used.
+func settle(socket net.Conn, span time.Duration) error {
+	if err := socket.SetReadDeadline(time.Now().Add(span)); err != nil {
+		socket.Close()
+		return fmt.Errorf("set the deadline of a new connection: %w", err)
+	}
+	var unasked [1]byte
+	n, err := socket.Read(unasked[:])
+	if n > 0 {
+		err = errUnasked
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		socket.Close()
+		return fmt.Errorf("new connection: %w", err)
+	}
+	if err := socket.SetReadDeadline(time.Time{}); err != nil {
+		socket.Close()
+		return fmt.Errorf("clear the deadline of a new connection: %w", err)
+	}
+	return nil
+}
+
 // write sends an attempt's request. A failure closes the connection, which ends the
 // attempt as lost: some of the request may have reached the server.
 func (x *Exchanger) write(c *connection, f *flight) {
@@ -315,7 +351,8 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	// flight is the attempt that runs on the connection; nil while it is idle.
-	flight  *flight
+	flight *flight
+	// used is when the last answer came; it is zero before the first.
 	used    time.Time
 	expires time.Time
 }
@@ -349,7 +386,7 @@
 		x.forget(c)
 		x.distrust(c.place)
 		x.end(f, reducer.ExchangeLost{
-			Attempt: f.exchange.Attempt, Server: f.exchange.Server, Reason: err.Error(),
+			Attempt: f.exchange.Attempt, Server: f.exchange.Server, Reason: err.Error(), Unproven: c.used.IsZero(),
 		})
 		return false
 	}
--- a/pkg/assessor/assessor.go
+++ b/pkg/assessor/assessor.go
@@ -26,10 +26,15 @@
 	// degradedShare is the share of poor answers from which a server is degraded: three
 	// times what a pause comes to.
 	degradedShare = 0.4
-	// leastPoor is the least weight of poor answers that says anything.
-	leastPoor = 4
-	// clearingAnswers is how many good answers in a row clear a degraded server.
-	clearingAnswers = 3
+	// failingShare is the share of failures from which it is: no pause causes one.
+	failingShare = 0.15
+	// leastPoor and leastFailed are the least weights of poor answers and failures that say anything.
+	leastPoor   = 4
+	leastFailed = 3
+	// clearingAnswers is how many good answers in a row clear a slow server, and failureFreeAnswers
+	// a failing one: one that fails two fifths of its work gives six in a row in one case of twenty.
+	clearingAnswers    = 3
+	failureFreeAnswers = 6
 	// ailingShare and ailingServers mark a host that is itself the cause: to it more than this
 	// share of so many servers looks poor.
 	ailingShare   = 0.6
@@ -39,9 +44,10 @@
 // Tally is what one host measured of a server in a span of time.
 type Tally struct {
 	// Answers counts all attempts that ended or are overdue; Poor those of them that failed, or
-	// were or are far later than usual.
+	// were or are far later than usual; Failed those that failed.
 	Answers int `msgpack:"a"`
 	Poor    int `msgpack:"p"`
+	Failed  int `msgpack:"f"`
 }
 
 // Assessor holds the evidence about servers. It is not safe for concurrent use.
@@ -51,11 +57,12 @@
 
 // record is the evidence about one server.
 type record struct {
-	answers, poor float64
-	at            identifier.Instant
-	degraded      bool
-	// clearing counts the good answers in a row of a degraded server.
-	clearing int
+	answers, poor, failed float64
+	at                    identifier.Instant
+	degraded              bool
+	// clearing counts the good answers in a row of a degraded server; it takes as many as
+	// needed to clear it.
+	clearing, needed int
 }
 
 // New returns an Assessor without evidence.
@@ -88,11 +95,17 @@
 	kept := math.Exp2(-float64(now.Since(r.at)) / float64(halfLife))
 	r.answers = r.answers*kept + float64(t.Answers)
 	r.poor = r.poor*kept + float64(t.Poor)
+	r.failed = r.failed*kept + float64(t.Failed)
 	r.at = now
-	if r.poor < leastPoor || r.poor < degradedShare*r.answers {
+	slow := r.poor >= leastPoor && r.poor >= degradedShare*r.answers
+	failing := r.failed >= leastFailed && r.failed >= failingShare*r.answers
+	if !slow && !failing {
 		return false, false
 	}
-	*r = record{degraded: true}
+	*r = record{degraded: true, needed: clearingAnswers}
+	if failing {
+		r.needed = failureFreeAnswers
+	}
 	return true, true
 }
 
@@ -102,7 +115,7 @@
 	if t.Poor > 0 {
 		r.clearing = 0
 	}
-	if r.clearing < clearingAnswers {
+	if r.clearing < r.needed {
 		return true, false
 	}
 	*r = record{}
--- a/pkg/assessor/assessor_test.go
+++ b/pkg/assessor/assessor_test.go
@@ -34,8 +34,13 @@
 			steady(2, assessor.Tally{Answers: 4, Poor: 4})...), good), false, 0},
 		{"of a slow server shows within a second", append(steady(20, good), steady(9, assessor.Tally{Answers: 4, Poor: 4})...), true, 1},
 		{"of a server that fails half of its work shows", append(steady(20, good), steady(20, mixed)...), true, 1},
+		{"of a server that fails a quarter of its work shows", append(steady(20, good), steady(10, assessor.Tally{Answers: 4, Poor: 1, Failed: 1})...), true, 1},
+		{"of failures now and then means nothing", steady(40, assessor.Tally{Answers: 40, Poor: 2, Failed: 2}), false, 0},
+		{"of a quarter of late answers means nothing", append(steady(20, good), steady(40, assessor.Tally{Answers: 4, Poor: 1})...), false, 0},
 		{"of poor answers among probes keeps the verdict", append(steady(9, mixed), steady(10, assessor.Tally{Answers: 3, Poor: 1})...), true, 1},
 		{"of good probes clears the server", append(steady(9, mixed), steady(3, assessor.Tally{Answers: 1})...), false, 2},
+		{"of few good probes does not clear a failing server", append(steady(9, assessor.Tally{Answers: 4, Poor: 2, Failed: 2}), steady(5, assessor.Tally{Answers: 1})...), true, 1},
+		{"of many good probes clears a failing server", append(steady(9, assessor.Tally{Answers: 4, Poor: 2, Failed: 2}), steady(6, assessor.Tally{Answers: 1})...), false, 2},
 		{"of a server that is slow again shows again", append(append(steady(9, mixed), steady(3, assessor.Tally{Answers: 1})...), steady(9, mixed)...), true, 3},
 	} {
 		ginkgo.It(c.name, func() {
--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -92,15 +92,33 @@
 	return known
 }
 
-// poor reports whether an attempt that took the span, or still takes it, is far beyond what
+// result is how an attempt counts in what is told of its server.
+type result uint8
+
+const (
+	good result = iota
+	// late attempts took, or have taken, far longer than is usual.
+	late
+	failed
+)
+
+// resultOf returns how an answer after the span counts.
+func (s *State) resultOf(a *sending, span identifier.Micros) result {
+	if s.overdue(a, span) {
+		return late
+	}
+	return good
+}
+
+// overdue reports whether an attempt that took the span, or still takes it, is far beyond what
 // is usual for its route.
-func (s *State) poor(a *sending, span identifier.Micros) bool {
+func (s *State) overdue(a *sending, span identifier.Micros) bool {
 	median, _ := s.traffic.pace(a.route).Usual(a.rank)
 	return median > 0 && span > max(poorFloor, poorFactor*median)
 }
 
 // tally counts an attempt once: when it ends, or when it is overdue.
-func (s *State) tally(a *sending, poor bool) {
+func (s *State) tally(a *sending, result result) {
 	if a.tallied {
 		return
 	}
@@ -108,8 +126,12 @@
 	s.awaitMeasurement()
 	t := s.traffic.measured[a.server]
 	t.Answers++
-	if poor {
+	switch result {
+	case late:
+		t.Poor++
+	case failed:
 		t.Poor++
+		t.Failed++
 	}
 	s.traffic.measured[a.server] = t
 }
--- a/pkg/reducer/assessment_test.go
+++ b/pkg/reducer/assessment_test.go
@@ -51,6 +51,7 @@
 			for _, x := range told.Servers {
 				sum.Answers += x.Tally.Answers
 				sum.Poor += x.Tally.Poor
+				sum.Failed += x.Tally.Failed
 			}
 		}
 		return sum
@@ -87,15 +88,20 @@
 		{"tells of a failure", "/search/1", func(e *entry) {
 			answerOthers(e)
 			e.fail(0)
-		}, assessor.Tally{Answers: shardCount, Poor: 1}},
+		}, assessor.Tally{Answers: shardCount, Poor: 1, Failed: 1}},
 		{"tells of a lost attempt", "/search/1", func(e *entry) {
 			answerOthers(e)
 			e.lose(0)
-		}, assessor.Tally{Answers: shardCount, Poor: 1}},
+		}, assessor.Tally{Answers: shardCount, Poor: 1, Failed: 1}},
+		{"tells nothing of an attempt lost on a new connection", "/search/1", func(e *entry) {
+			answerOthers(e)
+			x := e.sent[0]
+			e.reduce(reducer.ExchangeLost{Attempt: x.Attempt, Server: x.Server, Reason: "reset", Unproven: true})
+		}, assessor.Tally{Answers: shardCount - 1}},
 		{"tells of a server that can't be reached", "/search/1", func(e *entry) {
 			answerOthers(e)
 			e.refuse(0, reducer.ExchangeUnreachable)
-		}, assessor.Tally{Answers: shardCount, Poor: 1}},
+		}, assessor.Tally{Answers: shardCount, Poor: 1, Failed: 1}},
 		{"tells nothing of a refusal", "/search/1", func(e *entry) {
 			answerOthers(e)
 			e.refuse(0, reducer.ExchangeShed)
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -304,8 +304,8 @@
 
 // noteWait takes in that an attempt has waited in vain, unless a short pause explains it.
 func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
-	if s.poor(a, elapsed) {
-		s.tally(a, true)
+	if s.overdue(a, elapsed) {
+		s.tally(a, late)
 	}
 	if elapsed > stallFloor {
 		s.traffic.chooser.Wait(s.now, a.server, elapsed)
@@ -346,7 +346,7 @@
 func (s *State) measure(a *sending, latency identifier.Micros) {
 	known := s.traffic.service(a.service)
 	known.hedger.Observe(a.rank, latency)
-	s.tally(a, s.poor(a, latency))
+	s.tally(a, s.resultOf(a, latency))
 	s.traffic.pace(a.route).Observe(a.rank, latency)
 	s.emit(Time{Histogram: ExchangeHistogram, Rank: a.rank, Span: latency})
 	usual, _ := known.hedger.Usual(a.rank)
@@ -384,7 +384,7 @@
 		s.measure(a, latency)
 		s.watch(a.server).failures = 0
 	} else {
-		s.tally(a, true)
+		s.tally(a, failed)
 		s.noteFailure(a)
 	}
 	if q == nil {
@@ -436,7 +436,7 @@
 		s.watch(a.server).away = s.now.Add(misdirectionTerm)
 	}
 	if e.Reason == ExchangeUnreachable {
-		s.tally(a, true)
+		s.tally(a, failed)
 		s.watch(a.server).notReached(s.now)
 	} else {
 		s.watch(a.server).unreached = 0
@@ -467,11 +467,13 @@
 		s.noteWait(a, s.now.Since(a.sent))
 		return
 	}
-	s.tally(a, true)
+	if !e.Unproven {
+		s.tally(a, failed)
+	}
 	s.noteFailure(a)
 	q.pieces[a.piece].ran, q.ran = true, true
 	s.logRequest(q, Info, "attempt lost", Field{"server", string(a.server)},
-		Field{"service", string(a.service)}, Field{"reason", e.Reason})
+		Field{"service", string(a.service)}, Field{"reason", e.Reason}, Field{"unproven", strconv.FormatBool(e.Unproven)})
 	s.tryElsewhere(q, a.piece)
 }
 
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -74,6 +74,9 @@
 		Attempt identifier.AttemptID
 		Server  identifier.ServerID
 		Reason  string
+		// Unproven is set when the connection had not given an answer before: servers reset
+		// connections beyond their cap, also while connections of hosts that died still count there.
+		Unproven bool
 	}
 )
 
