pkg/reducer: take in a gathered batch when a part of it came directly

Cause: a batch gathered by another host was dropped when an attempt of this host's own had brought one of its parts first, since the records can't be told apart.

Ruled out: lost messages (the delegates had sent them), budgets (a consequence).

Change: the batch's part replaces the one that came directly. A batch with a signature that another piece has is failed, and its parts are asked for directly.

A test failed before.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -269,28 +269,63 @@
 	s.settleRequest(q)
 }
 
-// mergeParts adds parts to the answer, unless one of them is in already: then the
-// records of the others can't be told from its own.
+// mergeParts adds parts to the answer. Those that are in already, since an attempt of this
+// host's own was faster, are replaced: their records can't be told from those of the others. One that
+// comes alone is left out.
 func (s *State) mergeParts(q *request, d *delegation, e PartsCame) {
 	var indexes []int
+	fresh := false
 	for _, p := range e.Parts {
-		index := slices.IndexFunc(q.pieces, func(w piece) bool { return w.service == p.Service })
-		if index < 0 || q.pieces[index].answer != nil || s.unusable(q, ServerAnswer{Signature: p.Signature}) {
+		index := slices.IndexFunc(d.pieces, func(i int) bool { return q.pieces[i].service == p.Service })
+		if index < 0 {
 			return
 		}
-		indexes = append(indexes, index)
+		indexes = append(indexes, d.pieces[index])
+		fresh = fresh || q.pieces[d.pieces[index]].answer == nil
 	}
-	if len(indexes) == 0 {
+	if q.repeatsSignature(indexes, e.Parts) {
+		for _, p := range e.Parts {
+			s.failDelegated(q, d, p.Service, false)
+		}
 		return
 	}
-	q.batches = append(q.batches, e.Body)
-	q.ran = true
 	for i, index := range indexes {
 		q.pieces[index].open--
-		q.pieces[index].ran = true
-		s.servePiece(q, index, &ServerAnswer{Success: true, Signature: e.Parts[i].Signature})
 		d.forget(index)
+		if fresh {
+			s.takePart(q, index, e.Parts[i].Signature)
+		}
+	}
+	if fresh {
+		q.batches = append(q.batches, e.Body)
+	}
+}
+
+// repeatsSignature reports whether a part lacks a signature, or has that of another piece.
+func (q *request) repeatsSignature(indexes []int, parts []DelegatedPart) bool {
+	for i, p := range parts {
+		if p.Signature == "" {
+			return true
+		}
+		for other := range q.pieces {
+			if a := q.pieces[other].answer; a != nil && other != indexes[i] && a.Signature == p.Signature {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// takePart takes in a part whose records are in a batch, in place of an answer to this host.
+func (s *State) takePart(q *request, index int, signature string) {
+	w := &q.pieces[index]
+	w.ran, q.ran = true, true
+	answer := &ServerAnswer{Success: true, Signature: signature}
+	if w.answer != nil {
+		w.answer = answer
+		return
 	}
+	s.servePiece(q, index, answer)
 }
 
 func (d *delegation) forget(index int) {
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -422,6 +422,26 @@
 				e.answer(shardCount + i)
 			}
 		}, shardCount + 8, 0},
+		{"take the place of one that came directly meanwhile", func(e *entry) {
+			e.pass(searchTarget - 20*identifier.Millisecond)
+			e.answer(shardCount + 3)
+			e.reduce(parts(0, 8))
+		}, shardCount + 8, 0},
+		{"are asked for directly when one has the signature of another part", func(e *entry) {
+			came := parts(0, 8)
+			came.Parts[2].Signature = "sig-" + string(e.sent[0].Server)
+			e.reduce(came)
+			for i := range 8 {
+				e.answer(shardCount + i)
+			}
+		}, shardCount + 8, 0},
+		{"are left out when they came directly before", func(e *entry) {
+			e.pass(searchTarget - 20*identifier.Millisecond)
+			e.answer(shardCount + 3)
+			e.reduce(parts(3, 4))
+			e.reduce(parts(0, 3))
+			e.reduce(parts(4, 8))
+		}, shardCount + 8, 0},
 		{"are asked for directly when the connection ends", func(e *entry) {
 			e.reduce(reducer.PeerDisconnected{Host: "10.0.1.1:70"})
 			for i := range 8 {
