--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -96,18 +96,18 @@
 type result uint8
 
 const (
-	good result = iota
-	// late attempts took, or have taken, far longer than is usual.
-	late
-	failed
+	resultGood result = iota
+	// resultLate attempts took, or have taken, far longer than is usual.
+	resultLate
+	resultFailed
 )
 
 // resultOf returns how an answer after the span counts.
 func (s *State) resultOf(a *sending, span identifier.Micros) result {
 	if s.overdue(a, span) {
-		return late
+		return resultLate
 	}
-	return good
+	return resultGood
 }
 
 // overdue reports whether an attempt that took the span, or still takes it, is far beyond what
@@ -118,7 +118,7 @@
 }
 
 // tally counts an attempt once: when it ends, or when it is overdue.
-func (s *State) tally(a *sending, result result) {
+func (s *State) tally(a *sending, r result) {
 	if a.tallied {
 		return
 	}
@@ -126,10 +126,10 @@
 	s.awaitMeasurement()
 	t := s.traffic.measured[a.server]
 	t.Answers++
-	switch result {
-	case late:
+	switch r {
+	case resultLate:
 		t.Poor++
-	case failed:
+	case resultFailed:
 		t.Poor++
 		t.Failed++
 	}
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -305,7 +305,7 @@
 // noteWait takes in that an attempt has waited in vain, unless a short pause explains it.
 func (s *State) noteWait(a *sending, elapsed identifier.Micros) {
 	if s.overdue(a, elapsed) {
-		s.tally(a, late)
+		s.tally(a, resultLate)
 	}
 	if elapsed > stallFloor {
 		s.traffic.chooser.Wait(s.now, a.server, elapsed)
@@ -384,7 +384,7 @@
 		s.measure(a, latency)
 		s.watch(a.server).failures = 0
 	} else {
-		s.tally(a, failed)
+		s.tally(a, resultFailed)
 		s.noteFailure(a)
 	}
 	if q == nil {
@@ -436,7 +436,7 @@
 		s.watch(a.server).away = s.now.Add(misdirectionTerm)
 	}
 	if e.Reason == ExchangeUnreachable {
-		s.tally(a, failed)
+		s.tally(a, resultFailed)
 		s.watch(a.server).notReached(s.now)
 	} else {
 		s.watch(a.server).unreached = 0
@@ -468,7 +468,7 @@
 		return
 	}
 	if !e.Unproven {
-		s.tally(a, failed)
+		s.tally(a, resultFailed)
 	}
 	s.noteFailure(a)
 	q.pieces[a.piece].ran, q.ran = true, true
