cmd/lagooncleat: tell a request's story from logs with explain

explain REQUEST-ID FILE... reads the logs of several processes, as text or JSON, and prints the lines about a request in order with the inputs of each decision, and what processes came to believe of its servers in the 5 s before.

A request that is declined or answered in part now says which services it lacks and who still holds an attempt: without that, a search without a lost or refused attempt told nothing of its cause.

The help of check names a file that exists.

--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -29,7 +29,7 @@
   Checks files and prints every fault with its file, line, field and reason.
   The exit code is 0 when there is none.
 
-  Example: lagooncleat check --customers _fixtures/hangar/customers.yaml
+  Example: lagooncleat check --customers examples/hangar/customers.yaml
 `
 }
 
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -2,7 +2,7 @@
 //
 // Each subcommand is a type that google/subcommands runs. Exit codes are those
 // of that library: 0 for success, 1 for failure, 2 for wrong usage, and 3 for a
-// change that another change has overtaken.
+// change that another change has overtaken, and 4 for a request that no log names.
 //
 // # Usage
 //
@@ -38,6 +38,7 @@
 	c.Register(&historyCommand{streams: s}, "operate")
 	c.Register(&rollbackCommand{streams: s}, "operate")
 	c.Register(&reportCommand{streams: s}, "operate")
+	c.Register(&explainCommand{streams: s}, "operate")
 	c.Register(&statusCommand{streams: s}, "operate")
 	c.Register(&loadCommand{streams: s}, "measure")
 }
--- /dev/null
+++ b/internal/commander/explain.go
@@ -0,0 +1,67 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/internal/explainer"
+)
+
+// exitUnknownRequest is the exit code for a request that no log names.
+const exitUnknownRequest subcommands.ExitStatus = 4
+
+// explainCommand tells a request's story from logs.
+type explainCommand struct{ streams Streams }
+
+// Name returns the name of the subcommand.
+func (*explainCommand) Name() string { return "explain" }
+
+// Synopsis returns one line about the subcommand.
+func (*explainCommand) Synopsis() string { return "tell what became of a request, from logs" }
+
+// Usage returns the help text.
+func (*explainCommand) Usage() string {
+	return `explain REQUEST-ID FILE...
+  Reads the logs of several processes and prints the lines about a request in order,
+  with the inputs of each decision, and what processes came to believe of its servers.
+  The exit code is 4 when no line names the request.
+
+  Example: lagooncleat explain 9c41d07be2a35f68 front-1.log front-2.log control-1.log
+`
+}
+
+// SetFlags declares no flags.
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the subcommand.
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		return usage(c.streams, c)
+	}
+	var sources []explainer.Source
+	for _, name := range f.Args()[1:] {
+		file, err := os.Open(name)
+		if err != nil {
+			return c.streams.fail(err)
+		}
+		defer file.Close()
+		sources = append(sources, explainer.Source{Name: name, Reader: file})
+	}
+	story, err := explainer.Explain(f.Arg(0), sources)
+	var unknown *explainer.UnknownRequestError
+	if errors.As(err, &unknown) {
+		c.streams.fail(err)
+		return exitUnknownRequest
+	}
+	if err == nil {
+		err = story.Print(c.streams.Output)
+	}
+	if err != nil {
+		return c.streams.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -249,18 +250,41 @@
 	return gathered
 }
 
+// lacking names the services whose pieces are not in, and who still holds an attempt for them:
+// servers, and hosts that gather parts.
+func (q *request) lacking() []Field {
+	var services, holders []string
+	for i := range q.pieces {
+		if q.pieces[i].answer == nil {
+			services = append(services, string(q.pieces[i].service))
+		}
+	}
+	for _, a := range q.attempts {
+		if a.open {
+			holders = append(holders, string(a.server))
+		}
+	}
+	for _, d := range q.delegations {
+		if d.open {
+			holders = append(holders, string(d.host))
+		}
+	}
+	return []Field{{"lacking", strings.Join(services, " ")}, {"waiting-for", strings.Join(holders, " ")}}
+}
+
 // concludeRequest ends a request with an outcome.
 func (s *State) concludeRequest(q *request, outcome RequestOutcome) {
+	lacking := q.lacking()
 	s.dropRequest(q)
 	switch o := outcome.(type) {
 	case Declined:
 		s.count(RequestDeclinesCounter, "", q.rank)
-		s.logRequest(q, Info, "request declined", Field{"reason", string(o.Reason)}, Field{"ran", string(o.Ran)})
+		s.logRequest(q, Info, "request declined", append(lacking, Field{"reason", string(o.Reason)}, Field{"ran", string(o.Ran)})...)
 	case Gathered:
 		s.countAnswer(q)
 		if o.Missing > 0 {
 			s.count(PartialAnswersCounter, "", q.rank)
-			s.logRequest(q, Info, "request answered in part", Field{"missing", formatCount(o.Missing)})
+			s.logRequest(q, Info, "request answered in part", append(lacking, Field{"missing", formatCount(o.Missing)})...)
 		}
 	case Relayed:
 		s.countAnswer(q)
