cmd/lagooncleat, pkg/reducer: start soaked hosts one at a time, forget routes that are gone

The programs were not involved. Found by reading: the latencies of routes were kept after their route had gone, so that a long life with many changes grew them.

Change: a mutex around the start of a host; routes that are not in the declaration in force are forgotten, with a test that failed before.

--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -64,7 +64,9 @@
 	done       chan struct{}
 	group      sync.WaitGroup
 
-	mutex sync.Mutex
+	// starting guards the deployment.
+	starting sync.Mutex
+	mutex    sync.Mutex
 	// acknowledged is the highest version of the declaration that was acknowledged.
 	acknowledged int
 	broken       []string
@@ -124,6 +126,9 @@
 }
 
 func (s *soak) start(h *soakHost) {
+	// Faults of several sorts start hosts at the same time.
+	s.starting.Lock()
+	defer s.starting.Unlock()
 	h.file = s.deployment.write(h.ip+".yaml", h.settings)
 	h.session = s.deployment.start(program, "serve", "--settings", h.file)
 	h.stopped = false
--- a/pkg/reducer/assessment_test.go
+++ b/pkg/reducer/assessment_test.go
@@ -122,6 +122,21 @@
 		})
 	}
 
+	ginkgo.It("forgets how long a route takes once the route is gone", func() {
+		e := practised()
+		without := following()
+		without.Declaration.Routes = nil
+		for _, v := range []*reducer.FleetView{without, following()} {
+			e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 5, Fleet: v}})
+		}
+		e.arrive("q", "/search/1")
+		answerOthers(e)
+		e.pass(50 * identifier.Millisecond)
+		e.answer(0)
+		e.pass(2 * reducer.MeasurementInterval)
+		gomega.Expect(total(e)).To(gomega.Equal(assessor.Tally{Answers: shardCount}))
+	})
+
 	ginkgo.It("is quiet while it measures nothing", func() {
 		e := practised()
 		e.pass(10 * reducer.MeasurementInterval)
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -1,12 +1,15 @@
 package reducer
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/lagooncleat/lagooncleat/pkg/chooser"
+	"github.com/lagooncleat/lagooncleat/pkg/declarer"
+	"github.com/lagooncleat/lagooncleat/pkg/hedger"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 )
@@ -485,7 +488,7 @@
 	s.settleRequest(q)
 }
 
-// adoptFleet forgets what was measured of servers that are gone.
+// adoptFleet forgets what was measured of servers and routes that are gone.
 func (s *State) adoptFleet(v *FleetView) {
 	if v == nil {
 		return
@@ -502,6 +505,11 @@
 			delete(s.traffic.watches, id)
 		}
 	}
+	routes := map[declarer.RouteID]bool{}
+	for i := range v.Declaration.Routes {
+		routes[v.Declaration.Routes[i].ID] = true
+	}
+	maps.DeleteFunc(s.traffic.paces, func(id declarer.RouteID, _ *hedger.Hedger) bool { return !routes[id] })
 	for id := range s.traffic.extras {
 		s.traffic.extras[id].Limit(bucketSize(s.extraSlack()))
 	}
