--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -1,7 +1,7 @@
 // Package commander holds the subcommands of the lagooncleat program.
 //
 // Each subcommand is a type that google/subcommands runs. Exit codes are those
-// of that library: 0 for success, 1 for failure, 2 for wrong usage, and 3 for a
+// of that library: 0 for success, 1 for failure, 2 for wrong usage, 3 for a
 // change that another change has overtaken, and 4 for a request that no log names.
 //
 // # Usage
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -13,6 +13,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -21,7 +22,7 @@
 )
 
 const (
-	// maxLine bounds the bytes of a line; longer ones count as malformed.
+	// maxLine bounds the bytes of a line; a longer one is skipped and counted as malformed.
 	maxLine = 1 << 20
 	// beliefSpan is how long before the request's first line a belief about its servers is told:
 	// the longest time in which a host learns what others know, some times over.
@@ -90,25 +91,18 @@
 	story := Story{Request: request}
 	var beliefs []Line
 	for _, s := range sources {
-		scanner := bufio.NewScanner(s.Reader)
-		scanner.Buffer(nil, maxLine)
-		for scanner.Scan() {
-			l, ok := parse(scanner.Bytes())
-			if !ok {
-				story.Malformed++
-				continue
-			}
-			l.Source = s.Name
+		malformed, err := read(s, func(l Line) {
 			switch {
 			case l.field("client-request") == request:
 				story.Lines = append(story.Lines, l)
 			case l.field("client-request") == "" && l.field("server") != "":
 				beliefs = append(beliefs, l)
 			}
-		}
-		if err := scanner.Err(); err != nil {
+		})
+		if err != nil {
 			return Story{}, fmt.Errorf("explainer: read %s: %w", s.Name, err)
 		}
+		story.Malformed += malformed
 	}
 	if len(story.Lines) == 0 {
 		return Story{}, &UnknownRequestError{Request: request, Malformed: story.Malformed}
@@ -117,6 +111,30 @@
 	return story, nil
 }
 
+// read gives each line of a log to the function and counts those that it can't read.
+func read(s Source, take func(Line)) (malformed int, err error) {
+	r := bufio.NewReaderSize(s.Reader, maxLine)
+	for {
+		text, tooLong, err := r.ReadLine()
+		for rest := tooLong; rest && err == nil; {
+			_, rest, err = r.ReadLine()
+		}
+		if errors.Is(err, io.EOF) {
+			return malformed, nil
+		}
+		if err != nil {
+			return malformed, err
+		}
+		l, ok := parse(text)
+		if tooLong || !ok {
+			malformed++
+			continue
+		}
+		l.Source = s.Name
+		take(l)
+	}
+}
+
 // choose keeps the beliefs that may have decided about the request.
 func (s *Story) choose(beliefs []Line) {
 	byTime := func(a, b Line) int { return a.At.Compare(b.At) }
--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -22,9 +22,9 @@
 )
 
 // ServersMeasured tells a control host what an entry host has borrowed of the extra attempts, and
-// what it has measured of the servers of its
-// failure domain for shards. Servers of other domains are left out, since the way to them may be
-// at fault, and servers of single services, since a burst makes all of them slow.
+// what it has measured of the shards' servers of its failure domain. Servers of other domains are
+// left out, since the way to them may be at fault, and servers of single services, since a burst
+// makes all of them slow.
 type ServersMeasured struct {
 	membershipEvent
 	From    identifier.HostID `msgpack:"f"`
