--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -47,8 +47,10 @@
 			nil, 4,
 		},
 		{
-			"goes on after a line that is too long", []string{refused + strings.Repeat("x", 3<<20) + "\n" + declined},
-			[]string{"attempt refused", "request declined"}, nil, 1,
+			"goes on after a line that is too long",
+			[]string{refused + strings.Repeat("x", 3<<20) + "\n" + declined},
+			[]string{"attempt refused", "request declined"},
+			nil, 1,
 		},
 		{"is read from JSON", []string{logged(true, func(l hclog.Logger) {
 			l.Info("request declined", "client-request", "q-1", "reason", "timeout")
