pkg/replicator: keep the number of voters odd where hosts join by themselves

Cause: a control host that joined while the one it replaced was well became a fourth voter. Nothing replaced the old host after its end, so it stayed a voter: three of four voters were left, and with the next lost disk no leader was elected again.

Change: learners are promoted only in pairs or to an odd number; the last one waits. It is promoted once a voter is silent for SilentVoterTimeout, and then the silent one removed; an even group removes a silent voter. A new leader counts the silence of the previous one from its last message, or a leader's end would take an election longer than contactMs allows. Probes go to all known members too, for hosts whose settings name other seeds than their disk.

Ruled out: removal on SIGTERM (a restart sends it too), removal of silent voters from odd groups (they would bear less once the host returns).

--- a/pkg/replicator/append.go
+++ b/pkg/replicator/append.go
@@ -13,6 +13,7 @@
 	r.require(!conflicting, OneLeaderInvariant, "term %d has two leaders: %v and %v", e.Term, r.leader, e.From)
 	r.becomeFollower(e.Term)
 	r.leader = e.From
+	r.lastLeader = e.From.Replica
 	r.lastContact = r.now
 	r.leaderSeen = true
 	r.resetElectionTimer()
--- a/pkg/replicator/cluster_test.go
+++ b/pkg/replicator/cluster_test.go
@@ -37,10 +37,14 @@
 	tickDue       identifier.Instant
 	// clockRate is the speed of the host's local clock relative to the virtual clock.
 	clockRate float64
-	applied   identifier.LogIndex
-	state     history
-	proposed  map[identifier.LogIndex]int
-	reads     map[replicator.ReadTicket]identifier.LogIndex
+	// seeds are the control hosts in the host's settings; nil are all hosts of the cluster.
+	seeds []identifier.HostID
+	// retired is set once the host has been removed for good.
+	retired  bool
+	applied  identifier.LogIndex
+	state    history
+	proposed map[identifier.LogIndex]int
+	reads    map[replicator.ReadTicket]identifier.LogIndex
 }
 
 // link is one direction of the connection between two hosts.
@@ -69,7 +73,9 @@
 // cluster runs control hosts on a virtual clock and a simulated network, and checks
 // invariants across all of them.
 type cluster struct {
-	random      *rand.Rand
+	random *rand.Rand
+	// autoJoin is the parameter of the same name of all hosts.
+	autoJoin    bool
 	now         identifier.Instant
 	queue       queue
 	events      int
@@ -87,20 +93,29 @@
 	lostDisks   int
 	removals    int
 	lastCommand int
+	// settled is when the group bears all losses again after a replacement.
+	settled identifier.Instant
 }
 
 func newCluster(seed uint64, size int) *cluster {
+	return newClusterWith(seed, size, nil)
+}
+
+// newClusterWith returns a cluster whose first hosts are the seeds in all settings and whose hosts
+// join automatically, unless seeds is nil.
+func newClusterWith(seed uint64, size int, seeds []identifier.HostID) *cluster {
 	c := &cluster{
-		random:  rand.New(rand.NewPCG(seed, 0)),
-		hosts:   map[identifier.HostID]*host{},
-		blocked: map[link]bool{},
-		leaders: map[identifier.Term]identifier.ReplicaID{},
+		autoJoin: seeds != nil,
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		hosts:    map[identifier.HostID]*host{},
+		blocked:  map[link]bool{},
+		leaders:  map[identifier.Term]identifier.ReplicaID{},
 	}
 	for i := range size {
 		c.names = append(c.names, identifier.HostID(fmt.Sprintf("h-%d", i+1)))
 	}
 	for _, id := range c.names {
-		c.hosts[id] = &host{id: id, clockRate: 1}
+		c.hosts[id] = &host{id: id, clockRate: 1, seeds: seeds}
 		if seed%2 == 0 {
 			c.hosts[id].clockRate = 0.5 + c.random.Float64()
 		}
@@ -150,7 +165,8 @@
 	h.proposed = map[identifier.LogIndex]int{}
 	h.reads = map[replicator.ReadTicket]identifier.LogIndex{}
 	h.node = replicator.New[int, history](replicator.Parameters{
-		Self: replicator.Peer{Host: h.id, Replica: h.replica}, Hosts: c.names, Seed: c.random.Uint64(),
+		Self: replicator.Peer{Host: h.id, Replica: h.replica}, Hosts: c.settingsHosts(h), Seed: c.random.Uint64(),
+		AutoJoin: c.autoJoin, Bootstrapped: c.autoJoin && (len(c.committed) > 0 || h.incarnation > 1),
 		Require: func(holds bool, i replicator.Invariant, detail string) {
 			if !holds {
 				c.fail("%s: invariant %s: %s", h.id, i, detail)
@@ -161,7 +177,31 @@
 	if err != nil {
 		c.fail("%s: %v", h.id, err)
 	}
-	c.step(h, func() { h.node.Recover(c.localTime(h), stored) })
+	c.step(h, func() {
+		if c.autoJoin {
+			h.node.SetProbeTargets(c.presentHosts())
+		}
+		h.node.Recover(c.localTime(h), stored)
+	})
+}
+
+// settingsHosts returns the control hosts in the host's settings.
+func (c *cluster) settingsHosts(h *host) []identifier.HostID {
+	if h.seeds != nil {
+		return h.seeds
+	}
+	return c.names
+}
+
+// presentHosts returns the hosts that have not been removed for good.
+func (c *cluster) presentHosts() []identifier.HostID {
+	var present []identifier.HostID
+	for _, id := range c.names {
+		if !c.hosts[id].retired {
+			present = append(present, id)
+		}
+	}
+	return present
 }
 
 // kill stops a host. A random prefix of its unsynced writes reaches the disk.
@@ -348,7 +388,9 @@
 			ticket := replicator.ReadTicket(command)
 			h.reads[ticket] = latest
 			h.node.Read(c.localTime(h), ticket)
-			c.addRemovedHosts(h)
+			if !c.autoJoin {
+				c.addRemovedHosts(h)
+			}
 		})
 		c.scheduleWorkload()
 	})
--- a/pkg/replicator/leadership.go
+++ b/pkg/replicator/leadership.go
@@ -24,8 +24,9 @@
 	match identifier.LogIndex
 	// next is the index to send next.
 	next identifier.LogIndex
-	// lastActive is the instant of the member's last reply or, before its first reply, the
-	// instant at which the leader started sending to it.
+	// lastActive is the instant of the member's last reply. Before its first reply, it is the
+	// instant at which the leader started sending to it or, for the previous leader, of its last
+	// message.
 	lastActive identifier.Instant
 	// replied is set once the member has replied to this leader.
 	replied bool
@@ -40,6 +41,9 @@
 	r.leaderSeen = true
 	r.leading = leaderState{progress: map[identifier.ReplicaID]*progress{}, first: r.log.last() + 1}
 	r.trackMembers()
+	if p, ok := r.leading.progress[r.lastLeader]; ok && !r.votes[r.lastLeader] {
+		p.lastActive = r.lastContact
+	}
 	r.appendAsLeader(Proposal[C]{Command: r.noop})
 }
 
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -48,8 +48,12 @@
 	r.sendProbes()
 }
 
+// sendProbes asks the hosts in the settings, the probe targets and the members that this replica knows.
 func (r *Replicator[C, S]) sendProbes() {
 	targets := slices.Concat(r.parameters.Hosts, r.probeTargets)
+	for _, x := range r.Members() {
+		targets = append(targets, x.Host)
+	}
 	slices.Sort(targets)
 	for _, h := range slices.Compact(targets) {
 		if h == r.parameters.Self.Host {
@@ -134,23 +138,28 @@
 	r.appendAsLeader(MembershipChange{Members: m})
 }
 
-// advanceMembership takes the next step for a learner that has caught up: it first
-// removes the voter that the learner replaces, then promotes the learner. It removes
-// a learner that has been silent for LearnerTimeout.
+// advanceMembership takes the next step for a learner that has caught up: it removes the voter whose
+// disk the learner replaces, or promotes the learner. It removes a learner that has been silent for
+// LearnerTimeout, and a voter that the group can do without.
 func (r *Replicator[C, S]) advanceMembership() {
-	if r.role != leader || !r.mayChangeMembers() {
+	if r.role != leader || !r.mayChangeMembers() || r.removeSilentVoter() {
 		return
 	}
+	ready := 0
+	for _, x := range r.Members() {
+		if !x.Voter && r.isReady(x) {
+			ready++
+		}
+	}
 	for _, x := range r.Members() {
 		if x.Voter {
 			continue
 		}
-		p := r.leading.progress[x.Replica]
-		if r.now.Since(p.lastActive) >= LearnerTimeout {
+		if r.now.Since(r.leading.progress[x.Replica].lastActive) >= LearnerTimeout {
 			r.appendMembership(r.Members().without(x.Replica))
 			return
 		}
-		if p.match < r.commit {
+		if !r.isReady(x) {
 			continue
 		}
 		for _, old := range r.Members() {
@@ -159,41 +168,69 @@
 				return
 			}
 		}
-		if silent, ok := r.silentVoter(); ok {
-			// Wait until the voter replies again or is silent long enough to be replaced.
-			if r.now.Since(r.leading.progress[silent.Replica].lastActive) >= SilentVoterTimeout {
-				r.replaceVoter(silent)
-			}
+		if r.mayPromote(ready) {
+			x.Voter = true
+			r.appendMembership(r.Members().with(x))
 			return
 		}
-		x.Voter = true
-		r.appendMembership(r.Members().with(x))
-		return
 	}
 }
 
-// silentVoter returns a voter that has never replied to this leader, or has not replied within
-// the election timeout. It returns none unless hosts may join by sending probes and so replace
-// a voter.
-func (r *Replicator[C, S]) silentVoter() (Member, bool) {
-	if !r.parameters.AutoJoin {
-		return Member{}, false
+// isReady reports whether a learner has caught up and replies.
+func (r *Replicator[C, S]) isReady(learner Member) bool {
+	p := r.leading.progress[learner.Replica]
+	return p.replied && p.match >= r.commit && r.now.Since(p.lastActive) < ElectionTimeout
+}
+
+// mayPromote reports whether a learner may become a voter, given the number of learners that are
+// ready. Where hosts join automatically, the number of voters stays odd: one more voter would raise
+// the quorum without letting the group bear the loss of another host. The last learner then waits to
+// replace a voter that falls silent.
+func (r *Replicator[C, S]) mayPromote(ready int) bool {
+	if !r.parameters.AutoJoin || r.Members().Voters()%2 == 0 || ready > 1 {
+		return true
+	}
+	_, silent := r.silentVoter()
+	return silent
+}
+
+// removeSilentVoter removes a silent voter if the number of voters is even, and reports whether it
+// did. The others then bear the loss of as many hosts as before, with a smaller quorum. A host that
+// was only partitioned joins again.
+func (r *Replicator[C, S]) removeSilentVoter() bool {
+	if r.Members().Voters()%2 != 0 {
+		return false
 	}
+	silent, ok := r.silentVoter()
+	return ok && r.replaceVoter(silent)
+}
+
+// silentVoter returns the voter that has been silent longest, if that is SilentVoterTimeout or
+// longer. It returns none unless hosts join automatically.
+func (r *Replicator[C, S]) silentVoter() (Member, bool) {
+	var longest Member
+	silence := SilentVoterTimeout
 	for _, x := range r.Members() {
 		p, ok := r.leading.progress[x.Replica]
-		if ok && x.Voter && (!p.replied || r.now.Since(p.lastActive) >= ElectionTimeout) {
-			return x, true
+		if !ok || !x.Voter || !r.parameters.AutoJoin {
+			continue
+		}
+		if since := r.now.Since(p.lastActive); since >= silence {
+			longest, silence = x, since
 		}
 	}
-	return Member{}, false
+	return longest, longest.Replica != 0
 }
 
-// replaceVoter removes the voter that a learner replaces, if the remaining voters
-// have an active quorum.
-func (r *Replicator[C, S]) replaceVoter(old Member) {
-	if remaining := r.Members().without(old.Replica); r.quorumActive(remaining) {
-		r.appendMembership(remaining)
+// replaceVoter removes a voter, if the remaining ones have an active quorum. It reports whether it
+// did.
+func (r *Replicator[C, S]) replaceVoter(old Member) bool {
+	remaining := r.Members().without(old.Replica)
+	if !r.quorumActive(remaining) {
+		return false
 	}
+	r.appendMembership(remaining)
+	return true
 }
 
 // quorumActive reports whether a quorum of the membership has replied to the leader within the
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -27,9 +27,9 @@
 	// LearnerTimeout is the time without a reply after which a learner is removed.
 	LearnerTimeout = 10 * identifier.Second
 	// SilentVoterTimeout is the time without a reply after which a voter is removed when a host
-	// that has joined can replace it. It is longer than a restart, and short enough that the
-	// group survives another failure 4 s after a replacement has started. A host that was only
-	// partitioned joins again.
+	// that has joined can replace it, or when the group bears no less without it. It is longer
+	// than a restart, and short enough that the group survives another failure 4 s after a
+	// replacement has started. A host that was only partitioned joins again.
 	SilentVoterTimeout = 3 * identifier.Second
 	// SnapshotRetryInterval is the minimum interval between sends of a snapshot to one member.
 	SnapshotRetryInterval = 2 * identifier.Second
@@ -49,8 +49,9 @@
 	// Bootstrapped is set when a group exists, so a replica with an empty disk must not bootstrap
 	// another one.
 	Bootstrapped bool
-	// AutoJoin lets hosts that are not members join by sending probes. A learner that has
-	// caught up then replaces a voter that has been silent for SilentVoterTimeout.
+	// AutoJoin lets hosts that are not members join by sending probes. The number of voters then
+	// stays odd, and a learner that has caught up replaces a voter that has been silent for
+	// SilentVoterTimeout.
 	AutoJoin bool
 	// Seed is the random seed of the election timeouts.
 	Seed uint64
@@ -81,6 +82,8 @@
 	hard        HardState
 	leader      Peer
 	lastContact identifier.Instant
+	// lastLeader is the leader that last sent a message, at lastContact.
+	lastLeader identifier.ReplicaID
 	// leaderSeen is set once the replica has received a message from a leader, or has led,
 	// since it started.
 	leaderSeen  bool
