--- a/internal/storer/file.go
+++ b/internal/storer/file.go
@@ -4,15 +4,13 @@
 	"errors"
 	"io/fs"
 	"os"
-
-	"github.com/google/renameio/v2"
 )
 
 // SaveFile writes an auxiliary file to the data folder and replaces an earlier one of the
 // same name. The file is not part of the log: a failure does not affect the log, and after
 // a power loss the folder may still hold the earlier file.
 func (s *Storer) SaveFile(name string, data []byte) error {
-	if err := renameio.WriteFile(s.path(name), encodeSnapshot(0, data), filePermission); err != nil {
+	if err := s.replaceFile(name, encodeSnapshot(0, data)); err != nil {
 		return &OperationError{"write " + name, err}
 	}
 	f, err := os.Open(s.folder)
--- a/internal/storer/folder.go
+++ b/internal/storer/folder.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/google/renameio/v2"
-
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
@@ -182,7 +180,7 @@
 		if !empty {
 			return 0, &CorruptError{file, 0, "the file is missing"}
 		}
-		return s.createReplicaID(file)
+		return s.createReplicaID()
 	}
 	if err != nil {
 		return 0, &OperationError{"read replica ID", err}
@@ -198,12 +196,12 @@
 	return identifier.ReplicaID(id), nil
 }
 
-func (s *Storer) createReplicaID(file string) (identifier.ReplicaID, error) {
+func (s *Storer) createReplicaID() (identifier.ReplicaID, error) {
 	var seed [8]byte
 	rand.Read(seed[:])
 	id := binary.BigEndian.Uint64(seed[:]) | 1
 	content := []byte(strconv.FormatUint(id, 16))
-	if err := renameio.WriteFile(file, encodeSnapshot(0, content), filePermission); err != nil {
+	if err := s.replaceFile(replicaIDName, encodeSnapshot(0, content)); err != nil {
 		return 0, &OperationError{"write replica ID", err}
 	}
 	return identifier.ReplicaID(id), s.syncFolder()
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -53,10 +53,10 @@
 	Folder string
 	// WrapSegment, if set, wraps each segment file that the Storer writes to.
 	WrapSegment func(File) File
-	// RetryWrite, if set, is called with the cause when a write of records fails, for example on
-	// a full disk. If it returns true, the partial frame is removed and the write is retried;
-	// otherwise the write fails. A failed sync is never retried, since it is unknown which
-	// data has reached the disk.
+	// RetryWrite, if set, is called with the cause when a write of records or of a snapshot fails,
+	// for example on a full disk. If it returns true, the partial frame or file is removed and the
+	// write is retried; otherwise the write fails. A failed sync of a segment is never retried,
+	// since it is unknown which data has reached the disk; a snapshot is written again as a new file.
 	RetryWrite func(cause error) bool
 }
 
@@ -179,6 +179,23 @@
 	}
 }
 
+// retry calls a write that can be repeated as a whole until it succeeds or Parameters.RetryWrite
+// returns false.
+func (s *Storer) retry(write func() error) error {
+	for {
+		err := write()
+		if err == nil || s.retryWrite == nil || !s.retryWrite(err) {
+			return err
+		}
+	}
+}
+
+// replaceFile writes a file with a new content under a temporary name in the data folder, syncs it
+// and renames it.
+func (s *Storer) replaceFile(name string, content []byte) error {
+	return renameio.WriteFile(s.path(name), content, filePermission, renameio.WithTempDir(s.folder))
+}
+
 // Compact replaces all stored data with a snapshot and the records that follow it. Both are
 // synced when it returns nil.
 func (s *Storer) Compact(snapshot []byte, tail [][]byte) error {
@@ -195,8 +212,8 @@
 	if err := s.write(tail); err != nil {
 		return err
 	}
-	file := s.path(snapshotName(s.generation))
-	if err := renameio.WriteFile(file, encodeSnapshot(s.generation, snapshot), filePermission); err != nil {
+	content := encodeSnapshot(s.generation, snapshot)
+	if err := s.retry(func() error { return s.replaceFile(snapshotName(s.generation), content) }); err != nil {
 		return s.fail("write snapshot", err)
 	}
 	if err := s.syncFolder(); err != nil {
@@ -242,8 +259,12 @@
 
 // openSegment opens the segment of the current generation for writing at the offset.
 func (s *Storer) openSegment(offset int64, flags int) error {
-	f, err := os.OpenFile(s.path(segmentName(s.generation)), os.O_CREATE|os.O_WRONLY|os.O_APPEND|flags, filePermission)
-	if err != nil {
+	var f *os.File
+	openFile := func() (err error) {
+		f, err = os.OpenFile(s.path(segmentName(s.generation)), os.O_CREATE|os.O_WRONLY|os.O_APPEND|flags, filePermission)
+		return err
+	}
+	if err := s.retry(openFile); err != nil {
 		return s.fail("open segment", err)
 	}
 	s.segment, s.offset = s.wrapSegment(f), offset
