internal/messenger: send events of over 16 MiB in parts

Cause: a control host that is far behind gets the whole state as one event. Above the frame's limit of 16 MiB the receiver closed the connection, and the leader sent the same frame again.

Larger events travel in frames of 1 MiB that are marked as continued, up to 64 MiB; each has the whole write timeout. Events of up to 16 MiB are sent as before, so hosts of both builds read each other.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,7 +2,8 @@
 //
 // Each host dials every peer that it sends to, so there is one connection for each
 // direction. A frame is a 4-byte big-endian length followed by one encoded event.
-// The first frame of a connection holds the ID of the sending host.
+// The first frame of a connection holds the ID of the sending host. An event that exceeds the
+// maximum frame travels in several frames; the highest bit of the length is set in all but the last.
 //
 // Events to one peer arrive in the order they were sent, or not at all. For an event that
 // was not sent because the peer is unknown or unreachable or its queue is full, the
@@ -39,8 +40,14 @@
 )
 
 const (
-	// maxFrameSize limits the size of one encoded event, in bytes.
+	// maxFrameSize limits the size of a frame, in bytes.
 	maxFrameSize = 16 << 20
+	// partSize is the size of the parts of an event that exceeds maxFrameSize, in bytes.
+	partSize = 1 << 20
+	// maxEventSize limits the size of an encoded event, in bytes.
+	maxEventSize = 64 << 20
+	// morePartsFlag is set in the length of a frame whose event continues in the next frame.
+	morePartsFlag = 1 << 31
 	// maxQueuedEvents limits the queue of one peer. Further events are undeliverable.
 	maxQueuedEvents = 4096
 	// dialTimeout limits the time to connect to a peer, and allows several round trips
@@ -269,10 +276,7 @@
 	for {
 		select {
 		case event := <-queue:
-			if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-				return err
-			}
-			if err := m.writeBatch(w, event, queue); err != nil {
+			if err := m.writeBatch(c, w, event, queue); err != nil {
 				return err
 			}
 		case <-m.context.Done():
@@ -282,14 +286,17 @@
 }
 
 // writeBatch writes an event and all events queued after it, then flushes.
-func (m *Messenger) writeBatch(w *bufio.Writer, first reducer.Event, queue chan reducer.Event) error {
-	if err := m.writeEvent(w, first); err != nil {
+func (m *Messenger) writeBatch(c net.Conn, w *bufio.Writer, first reducer.Event, queue chan reducer.Event) error {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := m.writeEvent(c, w, first); err != nil {
 		return err
 	}
 	for {
 		select {
 		case event := <-queue:
-			if err := m.writeEvent(w, event); err != nil {
+			if err := m.writeEvent(c, w, event); err != nil {
 				return err
 			}
 		default:
@@ -298,18 +305,41 @@
 	}
 }
 
-func (m *Messenger) writeEvent(w io.Writer, event reducer.Event) error {
+// writeEvent writes an event, in parts if it exceeds the maximum frame. Each part gets the whole
+// write timeout.
+func (m *Messenger) writeEvent(c net.Conn, w io.Writer, event reducer.Event) error {
 	data, err := encoder.Encode(event)
 	if err != nil {
 		m.logger.Error("failed to encode event; event dropped", "error", err)
 		return nil
 	}
+	if len(data) > maxEventSize {
+		m.logger.Error("event exceeds the size limit; event dropped", "bytes", len(data), "limit", maxEventSize)
+		return nil
+	}
+	if len(data) <= maxFrameSize {
+		return writeFrame(w, data)
+	}
+	for len(data) > partSize {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if err := writePart(w, data[:partSize], morePartsFlag); err != nil {
+			return err
+		}
+		data = data[partSize:]
+	}
 	return writeFrame(w, data)
 }
 
 func writeFrame(w io.Writer, data []byte) error {
+	return writePart(w, data, 0)
+}
+
+// writePart writes a frame whose length has the flags set.
+func writePart(w io.Writer, data []byte, flags uint32) error {
 	var header [headerSize]byte
-	binary.BigEndian.PutUint32(header[:], uint32(len(data)))
+	binary.BigEndian.PutUint32(header[:], uint32(len(data))|flags)
 	if _, err := w.Write(header[:]); err != nil {
 		return err
 	}
@@ -343,26 +373,48 @@
 	}
 }
 
-// FrameTooLargeError reports a frame that exceeds the size limit.
+// FrameTooLargeError reports a frame or event that exceeds its size limit, both in bytes.
 type FrameTooLargeError struct {
-	Size identifier.Bytes
+	Size, Limit identifier.Bytes
 }
 
 // Error returns a message with the size and the limit in bytes.
 func (e *FrameTooLargeError) Error() string {
-	return fmt.Sprintf("messenger: frame of %d bytes exceeds the limit of %d bytes", e.Size, maxFrameSize)
+	return fmt.Sprintf("messenger: %d bytes exceed the limit of %d bytes", e.Size, e.Limit)
 }
 
+// readFrame returns the content of a frame, or of several that hold one event.
 func readFrame(r io.Reader) ([]byte, error) {
+	var content []byte
+	for {
+		data, more, err := readPart(r)
+		if err != nil {
+			return nil, err
+		}
+		if !more && content == nil {
+			return data, nil
+		}
+		if size := len(content) + len(data); size > maxEventSize {
+			return nil, &FrameTooLargeError{Size: identifier.Bytes(size), Limit: maxEventSize}
+		}
+		if content = append(content, data...); !more {
+			return content, nil
+		}
+	}
+}
+
+// readPart returns the content of one frame, and whether the event continues in the next one.
+func readPart(r io.Reader) ([]byte, bool, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	size := binary.BigEndian.Uint32(header[:])
+	length := binary.BigEndian.Uint32(header[:])
+	size := length &^ morePartsFlag
 	if size > maxFrameSize {
-		return nil, &FrameTooLargeError{Size: identifier.Bytes(size)}
+		return nil, false, &FrameTooLargeError{Size: identifier.Bytes(size), Limit: maxFrameSize}
 	}
 	data := make([]byte, size)
 	_, err := io.ReadFull(r, data)
-	return data, err
+	return data, length&morePartsFlag != 0, err
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -1,6 +1,7 @@
 package messenger_test
 
 import (
+	"bytes"
 	"net"
 	"testing"
 	"time"
@@ -90,4 +91,37 @@
 			gomega.Eventually(n.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(refusal)))
 		}
 	})
+
+	for _, c := range []struct {
+		name string
+		// size is the size of the event's body in bytes.
+		size      int
+		delivered bool
+	}{
+		{"of 1 MiB", 1 << 20, true},
+		{"at the limit of a frame", 16 << 20, true},
+		{"of 40 MiB, the size of a large snapshot", 40 << 20, true},
+		{"above the limit, which is dropped", 65 << 20, false},
+	} {
+		ginkgo.It("delivers an event "+c.name+", and the next one", func() {
+			senderListener, _ := listen()
+			receiverListener, address := listen()
+			sender := startNode("h-1", senderListener, map[identifier.HostID]identifier.Address{"h-2": address})
+			receiver := startNode("h-2", receiverListener, nil)
+			defer senderListener.Close()
+			defer receiverListener.Close()
+			defer sender.Close()
+			defer receiver.Close()
+			large := submitted
+			large.Body = bytes.Repeat([]byte("snapshot"), c.size/8)
+			sender.Send("h-2", large)
+			sender.Send("h-2", submitted)
+			if c.delivered {
+				var event reducer.Event
+				gomega.Eventually(receiver.delivered, waitLimit).Should(gomega.Receive(&event))
+				gomega.Expect(event.(reducer.AttemptSubmitted).Body).To(gomega.HaveLen(len(large.Body)))
+			}
+			gomega.Eventually(receiver.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(submitted)))
+		})
+	}
 })
