deploy: serve metrics of both roles on a fixed port

listen.metrics is an optional address for metrics alone. Every host serves gauges of its version, readiness, servers and of the replicated log.

--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -31,7 +31,7 @@
 func NewOperators(host identifier.HostID, v HostViewer, r OperationRunner, m *meter.Meter, ready func() bool) http.Handler {
 	o := &operatorHandler{host: host, viewer: v, meter: m, ready: ready}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", o.metrics)
+	mux.Handle("GET /metrics", NewMetrics(m))
 	mux.HandleFunc("GET /live", o.live)
 	mux.HandleFunc("GET /ready", o.readiness)
 	mux.HandleFunc("GET /v1/status", o.status)
@@ -41,8 +41,12 @@
 	return mux
 }
 
-func (o *operatorHandler) metrics(w http.ResponseWriter, _ *http.Request) {
-	o.meter.Write(w)
+// NewMetrics returns the HTTP handler that writes the metrics in the Prometheus text format, at
+// /metrics.
+func NewMetrics(m *meter.Meter) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { m.Write(w) })
+	return mux
 }
 
 func (o *operatorHandler) live(w http.ResponseWriter, _ *http.Request) {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -76,6 +76,9 @@
 	}
 	d.checkAddress("listen.operators", s.Listen.Operators)
 	d.checkAddress("listen.peers", s.Listen.Peers)
+	if s.Listen.Metrics != "" {
+		d.checkAddress("listen.metrics", s.Listen.Metrics)
+	}
 	if s.Fleet == nil {
 		d.checkPeers(s)
 		d.checkControl(s)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -59,6 +59,8 @@
 	// Readiness is the address for the load balancer's readiness checks of an entry host in a
 	// fleet.
 	Readiness identifier.Address `yaml:"readiness"`
+	// Metrics is a further address for metrics alone. It is optional.
+	Metrics identifier.Address `yaml:"metrics"`
 }
 
 // FleetDuty is the role of a host in a fleet.
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -8,7 +8,6 @@
 
 	"github.com/lagooncleat/lagooncleat/internal/exchanger"
 	"github.com/lagooncleat/lagooncleat/internal/executor"
-	"github.com/lagooncleat/lagooncleat/internal/listener"
 	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/logger"
 	"github.com/lagooncleat/lagooncleat/internal/messenger"
@@ -63,7 +62,7 @@
 	}, dependencies)
 	r.messenger = messenger.New(messenger.Parameters{Host: s.Host}, r.host.Deliver, loggers.Logger(messengerSubsystem))
 	r.host.Start(r.messenger)
-	r.serve(listener.NewOperators(s.Host, r.host, r.host, metrics, r.Ready), Operators)
+	r.serveOperators(metrics)
 	switch s.Fleet.Duty {
 	case loader.FleetEntry:
 		r.serve(a.Clients(r.host), Callers)
--- /dev/null
+++ b/internal/runner/gauge.go
@@ -0,0 +1,34 @@
+package runner
+
+import (
+	"github.com/lagooncleat/lagooncleat/internal/meter"
+	"github.com/lagooncleat/lagooncleat/pkg/reducer"
+)
+
+// gauges lists the gauges that every host serves. Each is read from the view published last.
+var gauges = []struct {
+	name string
+	read func(*reducer.View) float64
+}{
+	{"lagooncleat_configuration_version", func(v *reducer.View) float64 { return float64(v.Configuration) }},
+	{"lagooncleat_ready", func(v *reducer.View) float64 { return oneIf(v.Ready()) }},
+	{"lagooncleat_servers", func(v *reducer.View) float64 { return float64(len(v.Servers)) }},
+	{"lagooncleat_control_in_touch", func(v *reducer.View) float64 { return oneIf(v.Control.InTouch) }},
+	{"lagooncleat_control_leader_known", func(v *reducer.View) float64 { return oneIf(v.Control.Leader != "") }},
+	{"lagooncleat_control_members", func(v *reducer.View) float64 { return float64(len(v.ControlMembers)) }},
+	{"lagooncleat_control_voters", func(v *reducer.View) float64 { return float64(v.ControlMembers.Voters()) }},
+	{"lagooncleat_control_storage_failed", func(v *reducer.View) float64 { return oneIf(v.Control.StorageFailed) }},
+}
+
+func oneIf(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+func (r *Runner) registerGauges(m *meter.Meter) {
+	for _, g := range gauges {
+		m.RegisterGauge(g.name, func() float64 { return g.read(r.host.View()) })
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -73,6 +73,7 @@
 	Operators
 	Peers
 	Readiness
+	Metrics
 	listenerCount
 )
 
@@ -84,7 +85,7 @@
 // open.
 func OpenListeners(l loader.Listen) (Listeners, error) {
 	var listeners Listeners
-	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers, l.Readiness} {
+	for i, address := range []identifier.Address{l.Callers, l.BackendServers, l.Operators, l.Peers, l.Readiness, l.Metrics} {
 		if address == "" {
 			continue
 		}
@@ -135,18 +136,9 @@
 		r.host.Deliver, loggers.Logger(messengerSubsystem))
 	r.host.Start(r.messenger)
 	r.host.Deliver(reducer.ConfigurationLoaded{Version: c.Version, Templates: c.Templates, Customers: c.Customers})
-	metrics.RegisterGauge("lagooncleat_configuration_version", func() float64 {
-		return float64(r.host.View().Configuration)
-	})
-	metrics.RegisterGauge("lagooncleat_control_in_touch", func() float64 {
-		if r.host.View().Control.InTouch {
-			return 1
-		}
-		return 0
-	})
 	r.serve(listener.NewCallers(r.host, metrics), Callers)
 	r.serve(listener.NewBackends(r.host), BackendServers)
-	r.serve(listener.NewOperators(s.Host, r.host, r.host, metrics, r.Ready), Operators)
+	r.serveOperators(metrics)
 	r.servePeers()
 	r.logger.Info("entry host started", "host", s.Host, "failure-domain", s.Domain)
 	return r, nil
@@ -159,6 +151,16 @@
 	}
 }
 
+// serveOperators serves the interface for operators, and the metrics on an address of their own if
+// the settings name one.
+func (r *Runner) serveOperators(m *meter.Meter) {
+	r.registerGauges(m)
+	r.serve(listener.NewOperators(r.settings.Host, r.host, r.host, m, r.Ready), Operators)
+	if r.listeners[Metrics] != nil {
+		r.serve(listener.NewMetrics(m), Metrics)
+	}
+}
+
 func (r *Runner) servePeers() {
 	r.group.Go(func() {
 		if err := r.messenger.Serve(r.listeners[Peers]); err != nil {
--- a/pkg/replicator/leadership.go
+++ b/pkg/replicator/leadership.go
@@ -16,6 +16,8 @@
 	won   bool
 	round Round
 	reads []pendingRead
+	// removal is the removal that an operator has requested; its replica is 0 if there is none.
+	removal pendingRemoval
 }
 
 // progress is a leader's replication state for another member.
@@ -145,6 +147,7 @@
 		r.advanceMatch(e.From, p, m.Match)
 	}
 	r.finishReads()
+	r.finishRemoval()
 	r.advanceMembership()
 }
 
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -273,7 +273,9 @@
 	return nil
 }
 
-// RemoveMember removes a host. It returns a *MemberError when no change was started.
+// RemoveMember starts the removal of a host, which is appended once a quorum of the remaining voters
+// has replied to a message sent after this call: one that has just lost its disk may have replied a
+// moment ago. It returns a *MemberError when no removal was started.
 func (r *Replicator[C, S]) RemoveMember(now identifier.Instant, host identifier.HostID) error {
 	if err := r.checkChange(now, host); err != nil {
 		return err
@@ -285,21 +287,51 @@
 		if x.Voter && r.Members().Voters() == 1 {
 			return &MemberError{Host: host, Reason: "the host is the only voter"}
 		}
-		remaining := r.Members().without(x.Replica)
-		if !r.quorumActive(remaining) {
+		if !r.quorumActive(r.Members().without(x.Replica)) {
 			return &MemberError{Host: host, Reason: "the remaining voters in touch are no quorum"}
 		}
-		r.appendMembership(remaining)
+		r.leading.round++
+		r.leading.removal = pendingRemoval{x.Replica, r.leading.round, r.now.Add(ElectionTimeout)}
+		r.broadcastAppend()
+		r.finishRemoval()
 		return nil
 	}
 	return &MemberError{Host: host, Reason: "the host is no member"}
 }
 
+// pendingRemoval is a removal that waits for replies to its round.
+type pendingRemoval struct {
+	replica identifier.ReplicaID
+	round   Round
+	expires identifier.Instant
+}
+
+// finishRemoval appends the pending removal if a quorum of the remaining voters has replied to its
+// round. It drops one that has expired or that another change has overtaken.
+func (r *Replicator[C, S]) finishRemoval() {
+	pending := r.leading.removal
+	if r.role != leader || pending.replica == 0 {
+		return
+	}
+	remaining := r.Members().without(pending.replica)
+	if r.now >= pending.expires || !r.mayChangeMembers() || remaining.Voters() == 0 {
+		r.leading.removal = pendingRemoval{}
+		return
+	}
+	confirmed := remaining.isQuorum(func(id identifier.ReplicaID) bool {
+		return id == r.parameters.Self.Replica || r.leading.progress[id].round >= pending.round
+	})
+	if confirmed {
+		r.leading.removal = pendingRemoval{}
+		r.appendMembership(remaining)
+	}
+}
+
 func (r *Replicator[C, S]) checkChange(now identifier.Instant, host identifier.HostID) error {
 	if !r.begin(now) || r.role != leader {
 		return &MemberError{Host: host, Reason: "this host is not the leader", Temporary: true}
 	}
-	if !r.mayChangeMembers() {
+	if !r.mayChangeMembers() || r.now < r.leading.removal.expires {
 		return &MemberError{Host: host, Reason: "another membership change is in progress", Temporary: true}
 	}
 	return nil
