--- a/internal/executor/loop.go
+++ b/internal/executor/loop.go
@@ -7,19 +7,6 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// clock returns instants that never decrease within the process.
-type clock struct {
-	start time.Time
-}
-
-func newClock() clock {
-	return clock{start: time.Now()}
-}
-
-func (c clock) now() identifier.Instant {
-	return identifier.Instant(c.start.UnixMicro()) + identifier.Instant(time.Since(c.start).Microseconds())
-}
-
 // loop is the goroutine that reduces one state.
 type loop struct {
 	host    *Host
