internal/exchanger: tell late copies of responses from the next response

Looked for at the users' request. Two cases could happen here, and two were safe: - A second copy of a refusal or failure that arrived after the next attempt of the same request had been sent on the connection was taken for its response: the request's id is the same. A request that ran was then reported as not run. - A second copy of a success that names no request was taken for the next one's. - Copies with a name were skipped, also while the next request is written and after a cancelled attempt. Also, an attempt written after its deadline, once the process had been paused, was sent on a connection in use again; new connections were safe.

Attempts of one client request no longer share a connection. Expired attempts are refused before anything is written, and idle times use the host's clock, which counts suspensions.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -2,8 +2,10 @@
 // them, one at a time per connection.
 //
 // It never sends a request twice. An attempt whose connection ends without a response is
-// reported as lost, and one that was never written as refused. Idle connections are read
-// too, so that one that the server closes, or that delivers unexpected data, is not reused.
+// reported as lost, and one that was never written, or whose deadline had passed by then, as refused.
+// Idle connections are read too, so that one that the server closes, or that delivers unexpected
+// data, is not reused. Attempts of one client request never share a connection, since a second copy
+// of a response couldn't be told from the response to a later attempt.
 // What is read of each response, and held of all together, is limited.
 //
 // # Usage
@@ -28,6 +30,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lagooncleat/lagooncleat/internal/dialer"
@@ -56,6 +59,9 @@
 	// writeWaitLimit limits the wait, after a response, until the rest of the request has been
 	// written. After that the connection is closed.
 	writeWaitLimit = time.Second
+	// rememberedRequests is the number of client requests that a connection remembers having
+	// carried. A server's slots bound what it answers while a request may still be retried.
+	rememberedRequests = 16
 	// bufferSize is the size of a connection's buffers, in bytes. A typical part with its
 	// headers fits.
 	bufferSize = 4 << 10
@@ -197,25 +203,37 @@
 // It closes those that are too old. It must be called with the lock held.
 func (x *Exchanger) takeIdle(e reducer.Exchange) *connection {
 	target := endpoint{e.Server, e.Address}
-	now := time.Now()
+	now := x.now()
+	var kept []*connection
+	var found *connection
 	list := x.idle[target]
-	for len(list) > 0 {
+	for len(list) > 0 && found == nil {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		x.idle[target] = list
-		if now.Before(c.idleDeadline) && (!e.Fresh || now.Sub(c.idleSince) < maxFreshIdle) {
-			return c
+		switch {
+		case now >= c.idleDeadline || (e.Fresh && now.Since(c.idleSince).Duration() >= maxFreshIdle):
+			c.socket.Close()
+		case c.hasCarried(e.Payload.ClientRequestID):
+			kept = append(kept, c)
+		default:
+			found = c
 		}
-		c.socket.Close()
 	}
-	delete(x.idle, target)
-	return nil
+	slices.Reverse(kept)
+	if list = append(list, kept...); len(list) > 0 {
+		x.idle[target] = list
+	} else {
+		delete(x.idle, target)
+	}
+	return found
 }
 
 // assign must be called with the lock held.
 func (x *Exchanger) assign(c *connection, a *attempt) {
 	c.attempt = a
 	a.connection = c
+	c.carried[c.carriedCount%rememberedRequests] = xxhash.Sum64String(a.exchange.Payload.ClientRequestID)
+	c.carriedCount++
 }
 
 // dial opens a connection and writes the attempt's request on it. If the attempt has been
@@ -287,6 +305,10 @@
 func (x *Exchanger) write(c *connection, a *attempt) {
 	defer close(a.written)
 	remaining := a.exchange.Deadline.Since(x.now())
+	if remaining <= 0 {
+		x.refuseExpired(c, a)
+		return
+	}
 	err := x.codec.Write(c.writer, a.exchange, remaining)
 	if err == nil {
 		err = c.writer.Flush()
@@ -297,6 +319,25 @@
 	}
 }
 
+// refuseExpired refuses an attempt whose deadline passed before anything was written, for example
+// while the process was paused. What allowed the attempt may no longer hold either.
+func (x *Exchanger) refuseExpired(c *connection, a *attempt) {
+	x.mutex.Lock()
+	current := c.attempt == a
+	if current {
+		c.attempt = nil
+	}
+	x.mutex.Unlock()
+	c.socket.Close()
+	if !current {
+		// readLoop has seen the end of the connection and reported the attempt.
+		return
+	}
+	x.finish(a, reducer.ExchangeRefused{
+		Attempt: a.exchange.Attempt, Server: a.exchange.Server, Reason: reducer.ExchangeUnreachable,
+	})
+}
+
 // finish removes an attempt and delivers its result.
 func (x *Exchanger) finish(a *attempt, event reducer.RequestEvent) {
 	x.mutex.Lock()
@@ -310,12 +351,12 @@
 
 // putIdle adds a connection to the idle ones, for reuse within the timeout.
 func (x *Exchanger) putIdle(c *connection, timeout time.Duration) {
-	now := time.Now()
+	now := x.now()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	c.attempt = nil
 	c.idleSince = now
-	c.idleDeadline = now.Add(timeout)
+	c.idleDeadline = now.Add(identifier.Micros(timeout.Microseconds()))
 	x.idle[c.endpoint] = append(x.idle[c.endpoint], c)
 }
 
@@ -372,9 +413,17 @@
 	attempt *attempt
 	// idleSince is when the connection last became idle, or zero if it never did. It is also set
 	// for a connection that became idle because its first attempt was cancelled during the dial.
-	idleSince time.Time
+	idleSince identifier.Instant
 	// idleDeadline is when an idle connection must no longer be reused.
-	idleDeadline time.Time
+	idleDeadline identifier.Instant
+	// carried holds hashes of the IDs of the latest client requests that were sent on the connection.
+	carried      [rememberedRequests]uint64
+	carriedCount int
+}
+
+// hasCarried reports whether an attempt of the client request was sent on the connection of late.
+func (c *connection) hasCarried(id string) bool {
+	return slices.Contains(c.carried[:min(c.carriedCount, rememberedRequests)], xxhash.Sum64String(id))
 }
 
 // readLoop reads responses until the connection ends or can't be reused.
@@ -409,7 +458,7 @@
 		x.remove(c)
 		x.closeIdle(c.endpoint)
 		x.finish(a, reducer.ExchangeLost{
-			Attempt: a.exchange.Attempt, Server: a.exchange.Server, Reason: err.Error(), Unproven: c.idleSince.IsZero(),
+			Attempt: a.exchange.Attempt, Server: a.exchange.Server, Reason: err.Error(), Unproven: c.idleSince == 0,
 			Closed: closedByServer(c.reader.source.ended),
 		})
 		return false
--- a/internal/exchanger/reader.go
+++ b/internal/exchanger/reader.go
@@ -23,6 +23,8 @@
 // Reader reads responses from a connection, within limits.
 type Reader struct {
 	*bufio.Reader
+	// Named is set by the codec once a response on the connection has named its request.
+	Named  bool
 	source *source
 }
 
