internal/drainer: answer requests that have just arrived when a host stops

Looked for at the users' request, and found: http.Server.Shutdown closes a kept connection on which the next request has begun to arrive, and drops without an answer every request whose head is read after it began, also the first one of a new connection. The control hosts' listener wasn't drained at all: calls of operators and servers in flight at SIGTERM were cut off.

A Drainer takes the place of Shutdown: it closes the listener and the idle connections, ends each other one after its answer and waits for those on which a request runs or has begun to arrive. Control hosts drain their listener too.

Six cases (split heads, first bytes, chunked bodies, new and kept connections): three red with Shutdown, all green now, also with the race detector; the tests of processes pass.

--- /dev/null
+++ b/internal/drainer/drainer_test.go
@@ -0,0 +1,94 @@
+package drainer_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/internal/drainer"
+)
+
+func TestDrainer(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "drainer")
+}
+
+// waitLimit limits each wait, with a wide margin.
+const waitLimit = 20 * time.Second
+
+var _ = ginkgo.Describe("a server that shuts down", func() {
+	const (
+		whole   = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+		chunked = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+	)
+	for _, c := range []struct {
+		name string
+		// before is sent before the shutdown begins, and after once it has begun. answers is the
+		// number of answers that the client gets, and kept whether the connection has served a
+		// request before.
+		before, after string
+		kept          bool
+		answers       int
+	}{
+		{"the head of the next request on a kept connection", whole[:20], whole[20:], true, 1},
+		{"the first byte of the next request on a kept connection", whole[:1], whole[1:], true, 1},
+		{"a chunked body on a kept connection", chunked, "0\r\n\r\n", true, 1},
+		{"the head of the first request on a connection", whole[:20], whole[20:], false, 1},
+		{"a chunked body on a new connection", chunked, "0\r\n\r\n", false, 1},
+		{"nothing on a kept connection", "", "", true, 0},
+	} {
+		ginkgo.It("answers what has begun to arrive: "+c.name, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			d := drainer.New(l)
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err == nil {
+					w.WriteHeader(http.StatusNoContent)
+				}
+			})
+			server := &http.Server{Handler: handler, ConnState: d.ConnState}
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(d) }()
+			client, err := net.Dial("tcp", l.Addr().String())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			defer client.Close()
+			gomega.Expect(client.SetDeadline(time.Now().Add(waitLimit))).To(gomega.Succeed())
+			r := bufio.NewReader(client)
+			if c.kept {
+				expectAnswer(client, r, whole)
+			}
+			_, err = client.Write([]byte(c.before))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			// The server reads what has arrived.
+			time.Sleep(50 * time.Millisecond)
+			stopped := make(chan error, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+			defer cancel()
+			go func() { stopped <- d.Drain(ctx, server) }()
+			gomega.Eventually(served, waitLimit).Should(gomega.Receive(gomega.MatchError(net.ErrClosed)))
+			time.Sleep(50 * time.Millisecond)
+			if c.answers > 0 {
+				expectAnswer(client, r, c.after)
+			}
+			_, err = r.ReadByte()
+			gomega.Expect(err).To(gomega.MatchError(io.EOF))
+			gomega.Eventually(stopped, waitLimit).Should(gomega.Receive(gomega.BeNil()))
+			gomega.Expect(server.Close()).To(gomega.Succeed())
+		})
+	}
+})
+
+func expectAnswer(client net.Conn, r *bufio.Reader, request string) {
+	_, err := client.Write([]byte(request))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	response, err := http.ReadResponse(r, nil)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusNoContent))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,6 +28,7 @@
 
 	"github.com/lagooncleat/lagooncleat/internal/caller"
 	"github.com/lagooncleat/lagooncleat/internal/dialer"
+	"github.com/lagooncleat/lagooncleat/internal/drainer"
 	"github.com/lagooncleat/lagooncleat/internal/exchanger"
 	"github.com/lagooncleat/lagooncleat/internal/executor"
 	"github.com/lagooncleat/lagooncleat/internal/journaler"
@@ -57,6 +58,7 @@
 	caller    *caller.Caller
 	exchanger *exchanger.Exchanger
 	servers   map[ListenerIndex]*http.Server
+	drainers  map[ListenerIndex]*drainer.Drainer
 	listeners Listeners
 	journal   *journaler.Journaler
 	group     sync.WaitGroup
@@ -147,7 +149,7 @@
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
 	return &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
-		servers: map[ListenerIndex]*http.Server{},
+		servers: map[ListenerIndex]*http.Server{}, drainers: map[ListenerIndex]*drainer.Drainer{},
 	}
 }
 
@@ -191,15 +193,28 @@
 }
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	r.servers[l] = server
+	d := drainer.New(r.listeners[l])
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: d.ConnState}
+	r.servers[l], r.drainers[l] = server, d
 	r.group.Go(func() {
-		if err := server.Serve(r.listeners[l]); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(d)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
 }
 
+// drain answers the requests that have arrived on a listener and accepts no others.
+func (r *Runner) drain(ctx context.Context, l ListenerIndex) {
+	server, ok := r.servers[l]
+	if !ok {
+		return
+	}
+	if err := r.drainers[l].Drain(ctx, server); err != nil {
+		r.logger.Warn("requests were still in flight at the shutdown timeout", "error", err)
+	}
+}
+
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
 // list is synchronized and no shutdown has begun.
 func (r *Runner) Ready() bool {
@@ -223,12 +238,9 @@
 	timeout := time.Duration(r.settings.Shutdown.TimeoutMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if callers, ok := r.servers[Callers]; ok {
-		if err := callers.Shutdown(ctx); err != nil {
-			r.logger.Warn("queries were still in flight at the shutdown timeout", "error", err)
-		}
-	}
+	r.drain(ctx, Callers)
 	r.host.Leave(ctx)
+	r.drain(ctx, BackendServers)
 	r.Kill()
 	r.logger.Info("shutdown done", "host", r.settings.Host)
 }
