pkg/aimer: time answers by the measured distance to the client

Cause: an answer was due at the target latency less 8 ms and a twenty-fifth, from the arrival of the request. The client's clock starts earlier: half a round trip, and another one for a new connection.

The host reads the round trip that the kernel has measured for each client's connection and knows whether it is new. pkg/aimer computes from them when the client began, when to answer, and from when an answer is late; early refusals use the same clock. Where the round trip is unknown, nothing changes. No figure of a site is in it.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// NetConn returns the underlying connection.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Read records that a part of a request has arrived.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,6 +37,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/logger"
 	"github.com/lagooncleat/lagooncleat/internal/messenger"
 	"github.com/lagooncleat/lagooncleat/internal/meter"
+	"github.com/lagooncleat/lagooncleat/internal/ranger"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -194,7 +195,7 @@
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	d := drainer.New(r.listeners[l])
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: d.ConnState}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: d.ConnState, ConnContext: ranger.ConnContext}
 	r.servers[l], r.drainers[l] = server, d
 	r.group.Go(func() {
 		err := server.Serve(d)
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -429,6 +429,8 @@
 		version:   s.traffic.view.Configuration,
 		rank:      min(e.Rank, identifier.RankCount-1),
 		arrival:   s.now,
+		started:   s.now,
+		lateFrom:  s.now.Add(e.Flush),
 		answerAt:  s.now.Add(e.Flush),
 		deadline:  s.now.Add(e.Remaining),
 		nextCheck: identifier.Never,
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/lagooncleat/lagooncleat/pkg/aimer"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/merger"
@@ -17,12 +18,6 @@
 	DeadlineMargin = 20 * identifier.Millisecond
 	// deadlineMarginDivisor divides the timeout to limit the margin of a short one.
 	deadlineMarginDivisor = 10
-	// TargetLatencyMargin is subtracted from the target latency, for the round trip to a client
-	// in the same region.
-	TargetLatencyMargin = 8 * identifier.Millisecond
-	// targetLatencyMarginDivisor divides the target latency to give a further margin for a busy
-	// processor.
-	targetLatencyMarginDivisor = 25
 	// CancelGrace is how long a cancelled attempt may still be answered before its connection
 	// is closed: longer than a pause of a server, and shorter than the half second within
 	// which work for a disconnected client must end.
@@ -99,6 +94,7 @@
 	if e.Remaining > 0 {
 		timeout = min(timeout, e.Remaining)
 	}
+	times := aimer.New(s.now, route.TargetLatency, e.Distance)
 	q := &request{
 		RequestArrived: e,
 		requester:      clientRequester{},
@@ -106,7 +102,9 @@
 		version:        fleet.Declaration.Version,
 		rank:           identifier.Rank(min(max(route.Priority, 0), identifier.RankCount-1)),
 		arrival:        s.now,
-		answerAt:       s.now.Add(route.TargetLatency - TargetLatencyMargin - route.TargetLatency/targetLatencyMarginDivisor),
+		started:        times.Started,
+		lateFrom:       times.LateFrom,
+		answerAt:       times.AnswerAt,
 		deadline:       s.now.Add(timeout - min(DeadlineMargin, timeout/deadlineMarginDivisor)),
 		nextCheck:      identifier.Never,
 		probing:        s.isSuspect(e.Fingerprint),
@@ -213,7 +211,7 @@
 
 // missedTargetLatency reports whether the target latency has passed, which makes any answer late.
 func (q *request) missedTargetLatency(now identifier.Instant) bool {
-	return now >= q.arrival.Add(q.route.TargetLatency)
+	return now >= q.lateFrom
 }
 
 // sufficient reports whether the pieces served so far make an answer that the route accepts.
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -138,7 +138,7 @@
 	if len(q.route.Shards) > 0 {
 		return min(q.answerAt, q.deadline)
 	}
-	return min(q.arrival.Add(q.route.TargetLatency/earlyRefusalDivisor), q.deadline)
+	return min(q.started.Add(q.route.TargetLatency/earlyRefusalDivisor), q.deadline)
 }
 
 // refusesEarly reports whether a request to a single service is given up: its servers have
@@ -147,7 +147,7 @@
 	if len(q.route.Shards) > 0 {
 		return false
 	}
-	return len(p.refused) > 0 || s.now.Add(ServerRetryInterval) >= q.arrival.Add(q.route.TargetLatency/earlyRefusalDivisor)
+	return len(p.refused) > 0 || s.now.Add(ServerRetryInterval) >= q.started.Add(q.route.TargetLatency/earlyRefusalDivisor)
 }
 
 // exhausted reports whether the route allows no further attempt for the piece.
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"github.com/lagooncleat/lagooncleat/pkg/aimer"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -47,6 +48,8 @@
 		Hostname, Path string
 		// Remaining is how long the client waits, in microseconds; 0 if unknown.
 		Remaining identifier.Micros
+		// Distance is what is known of the way to the client.
+		Distance aimer.Distance
 		// Fingerprint is the same for each resend of the request.
 		Fingerprint identifier.Fingerprint
 		Payload     Payload
@@ -239,6 +242,9 @@
 	version   identifier.Version
 	rank      identifier.Rank
 	arrival   identifier.Instant
+	// started is when the client began the request, and lateFrom when an answer misses the target
+	// latency.
+	started, lateFrom identifier.Instant
 	// answerAt is when the answer should be sent to meet the target latency, or, for a
 	// delegated request, the flush time. From partialAfter on, an answer that missed the target
 	// latency may be partial. deadline is when the request ends.
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -249,8 +249,8 @@
 	storedAt           identifier.Instant
 	// shutdownUnstored is set while the snapshot on disk lacks that a server shuts down.
 	shutdownUnstored bool
-	declaration        *declarer.Declaration
-	routes             *matcher.Matcher
+	declaration      *declarer.Declaration
+	routes           *matcher.Matcher
 	// assessor detects degraded servers from the measurements of this control host's subscribers,
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
