pkg/reducer: request one whole server list across failure domains at a time

An entry host without a subscription asked all control hosts every 100 ms, and each answered with its whole list until one had arrived; hundreds of hosts that search at once delay each other's lists, so they ask again and again.

An entry host now asks remote control hosts only whether it may subscribe to them, without servers and declaration, and requests the whole list of the first that says so. It doesn't request a list again within 300 ms.

--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -39,6 +39,9 @@
 	// in its local failure domain, if it knows any: if they run, they answer within a millisecond,
 	// and lists from remote domains use bandwidth there. With PollTimeout it stays within 1.5 s.
 	LocalWaitLimit = 300 * identifier.Millisecond
+	// ListRequestTimeout is how long an entry host waits for a whole list that it has requested before
+	// it requests one again: the time to send hundreds of servers over a slow link.
+	ListRequestTimeout = 300 * identifier.Millisecond
 	// UnsubscribedInterval is the polling interval of an entry host without a subscription: it
 	// serves no clients, or uses an old list.
 	UnsubscribedInterval = 100 * identifier.Millisecond
@@ -116,6 +119,9 @@
 		// Subscribes is set by an entry host that subscribes to the control host, which then counts it
 		// among the hosts that share the servers.
 		Subscribes bool `msgpack:"s"`
+		// Brief is set by an entry host that looks for a control host to subscribe to: the answer is to
+		// leave out the servers and the declaration.
+		Brief bool `msgpack:"b"`
 	}
 	// ServerListSent carries the changes of a control host's server list.
 	ServerListSent struct {
@@ -139,6 +145,8 @@
 		// Place is the receiver's position among the entry hosts. It changes more often than the
 		// topology: with each host that starts or stops.
 		Place HostPosition `msgpack:"n"`
+		// Brief is set when the servers and the declaration are left out, as was requested.
+		Brief bool `msgpack:"b"`
 	}
 	// ServerWithdrawn reports that a backend server has announced its shutdown.
 	ServerWithdrawn struct {
@@ -227,6 +235,10 @@
 	subscribedTo identifier.HostID
 	lastReceived identifier.Instant
 	searchStart  identifier.Instant
+	// listRequested holds when this entry host last requested the whole list of a control host, until
+	// that arrives; remoteListRequested is the latest such request to a remote failure domain.
+	listRequested       map[identifier.HostID]identifier.Instant
+	remoteListRequested identifier.Instant
 	// hostCounts holds the highest counts of entry hosts received recently, since a control host
 	// that has restarted knows few of them at first.
 	hostCounts HostCounts
@@ -271,6 +283,7 @@
 		peerSubscribers:       map[identifier.HostID][]router.Host{},
 		announcementAddresses: map[identifier.HostID]identifier.Address{},
 		positions:             map[identifier.HostID]ServerListPosition{},
+		listRequested:         map[identifier.HostID]identifier.Instant{},
 		controlHosts:          map[identifier.HostID]controlHost{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
@@ -468,9 +481,36 @@
 	p.position = e.Held
 	p.version = e.Version
 	p.topology = e.Topology
+	if e.Brief {
+		s.sendBrief(e.Host, p, s.allEntryHosts())
+		return
+	}
 	s.sendServerList(e.Host, p, s.allEntryHosts())
 }
 
+// sendBrief tells a host that looks for a control host whether this one may be subscribed to.
+func (s *State) sendBrief(id identifier.HostID, to *poller, entryHosts []router.Host) {
+	s.emit(Send{To: id, Event: ServerListSent{
+		From: s.parameters.Host, Topology: s.topologyFor(id, to, entryHosts),
+		InTouch: s.inTouch(), Synchronized: s.control.synchronized, Brief: true,
+	}})
+}
+
+// topologyFor returns the topology for a poller, or nil if the poller knows it.
+func (s *State) topologyFor(id identifier.HostID, to *poller, entryHosts []router.Host) *Topology {
+	topology := Topology{
+		ControlHosts: append(s.otherControlHosts(), s.control.self),
+		HostCounts:   countEntryHosts(to.domain, entryHosts),
+		Delegates:    delegatesFor(id, to, entryHosts),
+	}
+	digest := topology.digest()
+	if digest == to.topology {
+		return nil
+	}
+	to.topology = digest
+	return &topology
+}
+
 // sendServerList sends a poller the changes that it does not hold yet.
 func (s *State) sendServerList(id identifier.HostID, to *poller, entryHosts []router.Host) {
 	sl := &s.control.serverList
@@ -488,15 +528,7 @@
 		message.Complete = true
 		from = 0
 	}
-	topology := Topology{
-		ControlHosts: append(s.otherControlHosts(), s.control.self),
-		HostCounts:   countEntryHosts(to.domain, entryHosts),
-		Delegates:    delegatesFor(id, to, entryHosts),
-	}
-	if digest := topology.digest(); digest != to.topology {
-		message.Topology = &topology
-		to.topology = digest
-	}
+	message.Topology = s.topologyFor(id, to, entryHosts)
 	message.Servers = sl.changesSince(from)
 	to.position = message.Position
 	if message.Source != nil {
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -408,6 +408,57 @@
 		})
 	}
 
+	for _, c := range []struct {
+		name  string
+		steps func(f *smallFleet)
+		// lists is how many whole lists each entry host may receive from remote failure domains.
+		lists int
+	}{
+		{"all hosts restart", func(f *smallFleet) { f.restart(0, 1, 2) }, 1},
+		{"the entry hosts restart while a control host is down", func(f *smallFleet) {
+			f.stop(controlName(0), false)
+			f.run(5 * identifier.Second)
+			f.stop(entryName(0), false)
+			f.start(entryName(0))
+		}, 2},
+		{"all hosts restart and two control hosts don't return", func(f *smallFleet) {
+			for i := range 3 {
+				f.stop(controlName(i), false)
+				f.stop(entryName(i), false)
+			}
+			f.start(controlName(2))
+			for i := range 3 {
+				f.start(entryName(i))
+			}
+		}, 0},
+		{"a failure domain without its control host is cut off and returns", func(f *smallFleet) {
+			f.stop(controlName(0), false)
+			f.isolated[entryName(0)] = true
+			f.run(4 * identifier.Second)
+			f.isolated[entryName(0)] = false
+		}, 2},
+	} {
+		ginkgo.It("crosses failure domains seldom as a whole: "+c.name, func() {
+			f := newSmallFleet()
+			f.declare(0, declarationSource(1, "desk"))
+			f.announce(0, announcement("s-1", 1, 1))
+			f.run(3 * identifier.Second)
+			lists := map[identifier.HostID]int{}
+			f.onReceive = func(id identifier.HostID, event reducer.Event) {
+				e, ok := event.(reducer.ServerListSent)
+				_, entry := f.hosts[id].parameters.Duty.(reducer.EntryDuty)
+				if ok && entry && e.Complete && f.hosts[e.From].parameters.Domain != f.hosts[id].parameters.Domain {
+					lists[id]++
+				}
+			}
+			c.steps(f)
+			f.run(6 * identifier.Second)
+			for i := range 3 {
+				gomega.Expect(lists[entryName(i)]).To(gomega.BeNumerically("<=", c.lists), "entry host %d", i)
+			}
+		})
+	}
+
 	ginkgo.It("redirects servers to a control host of their failure domain", func() {
 		f := newSmallFleet()
 		grant := f.announce(0, announcement("s-1", 1, 1))
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -119,13 +119,45 @@
 	return known
 }
 
+// requestServerLists asks all control hosts. An entry host asks remote ones whose list it doesn't hold
+// only whether it may subscribe to them: whole lists are large, and it needs one.
 func (s *State) requestServerLists() {
+	_, entry := s.parameters.Duty.(EntryDuty)
 	for _, h := range s.otherControlHosts() {
+		if _, held := s.control.serverList.positions[h.ID]; entry && !held && h.Domain != s.parameters.Domain {
+			s.sendListRequest(h.ID, true)
+			continue
+		}
 		s.requestServerList(h.ID)
 	}
 }
 
+// requestServerList asks a control host for the changes since the list that this host holds. Without
+// one, an entry host asks for the whole list, but not while it waits for that.
 func (s *State) requestServerList(id identifier.HostID) {
+	sl := &s.control.serverList
+	if _, entry := s.parameters.Duty.(EntryDuty); entry && sl.positions[id].Started == 0 {
+		if at, ok := sl.listRequested[id]; ok && s.now.Since(at) < ListRequestTimeout {
+			return
+		}
+		sl.listRequested[id] = s.now
+	}
+	s.sendListRequest(id, false)
+}
+
+// requestListOf asks a remote control host that may be subscribed to for its whole list, unless this
+// host subscribes to one or waits for the list of another.
+func (s *State) requestListOf(e ServerListSent) {
+	sl := &s.control.serverList
+	suitable := e.InTouch && (e.Synchronized || len(sl.servers) > 0)
+	if sl.subscribedTo != "" || !suitable || s.now.Since(sl.remoteListRequested) < ListRequestTimeout {
+		return
+	}
+	sl.remoteListRequested = s.now
+	s.sendListRequest(e.From, false)
+}
+
+func (s *State) sendListRequest(id identifier.HostID, brief bool) {
 	s.emit(Send{To: id, Event: ServerListRequested{
 		Host:       s.parameters.Host,
 		Domain:     s.parameters.Domain,
@@ -133,6 +165,7 @@
 		Version:    s.control.version,
 		Topology:   s.control.serverList.topologies[id],
 		Subscribes: id == s.control.serverList.subscribedTo,
+		Brief:      brief,
 	}})
 }
 
@@ -144,6 +177,11 @@
 		s.synchronizeServerList(e)
 		return
 	}
+	if e.Brief {
+		s.requestListOf(e)
+		return
+	}
+	delete(sl.listRequested, e.From)
 	held := sl.positions[e.From]
 	if !e.Complete && (held.Started != e.Position.Started || held.Revision > e.Position.Revision) {
 		// The changes apply to a list that this host does not hold.
