--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,9 @@
 // soakAnnouncementInterval is the interval between announcements of a fake server.
 const soakAnnouncementInterval = 300 * time.Millisecond
 
+// soakReplacementTime is how long a group of control hosts may take to adapt to a replacement.
+const soakReplacementTime = 5 * time.Second
+
 // Ports of a host in the soak. Its relay listens at soakPeerPort, the port that other
 // hosts know, and forwards to soakPeerListenPort.
 const (
@@ -67,9 +71,12 @@
 	done       chan struct{}
 	workers    sync.WaitGroup
 
-	// startMutex guards the deployment.
+	// startMutex guards the deployment, and hostsMutex the elements of hosts.
 	startMutex sync.Mutex
-	mutex      sync.Mutex
+	hostsMutex sync.Mutex
+	// replaced is set once a control host has been replaced.
+	replaced bool
+	mutex    sync.Mutex
 	// acknowledgedVersion is the highest acknowledged version of the declaration.
 	acknowledgedVersion int
 	violations          []string
@@ -117,12 +124,7 @@
 		for _, change := range adjust {
 			change(&h.settings)
 		}
-		var err error
-		h.relay, err = relayer.New(relayer.Parameters{
-			Listen: identifier.Address(h.address(soakPeerPort)), Target: h.settings.Listen.Peers, Delay: time.Millisecond,
-		})
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		ginkgo.DeferCleanup(h.relay.Close)
+		s.startRelay(h)
 		s.startHost(h)
 	}
 	var err error
@@ -152,7 +154,7 @@
 // declare sends a version of the declaration to a control host, and records and reports
 // whether it was acknowledged.
 func (s *soak) declare(version int) bool {
-	acknowledged := s.operator.Declare(s.hosts[version%imitator.Domains].address(soakControlPort), version)
+	acknowledged := s.operator.Declare(s.host(version%imitator.Domains).address(soakControlPort), version)
 	if acknowledged {
 		s.mutex.Lock()
 		s.acknowledgedVersion = max(s.acknowledgedVersion, version)
@@ -167,7 +169,7 @@
 	s.mutex.Lock()
 	minimum := s.acknowledgedVersion
 	s.mutex.Unlock()
-	version, err := s.operator.DeclaredVersion(s.hosts[host].address(soakControlPort))
+	version, err := s.operator.DeclaredVersion(s.host(host).address(soakControlPort))
 	if errors.Is(err, imitator.ErrNoSuccess) {
 		return 0
 	}
@@ -179,7 +181,7 @@
 
 // search sends a search to an entry host and reports whether the answer was complete.
 func (s *soak) search(client, host int, id string) bool {
-	missing, err := s.clients[client%len(s.clients)].Search(s.hosts[host].address(soakClientPort), id)
+	missing, err := s.clients[client%len(s.clients)].Search(s.host(host).address(soakClientPort), id)
 	if errors.Is(err, imitator.ErrNoSuccess) {
 		return false
 	}
@@ -194,7 +196,7 @@
 
 // post sends a posting, which must run at most once.
 func (s *soak) post(host int, id string) {
-	if s.clients[0].Post(s.hosts[host].address(soakClientPort), id) {
+	if s.clients[0].Post(s.host(host).address(soakClientPort), id) {
 		s.mutex.Lock()
 		s.reportedNotRun = append(s.reportedNotRun, id)
 		s.mutex.Unlock()
@@ -277,7 +279,7 @@
 	h := hosts[random.IntN(len(hosts))]
 	duration := drawFaultDuration(random)
 	signal := func(sig syscall.Signal) { h.session.Signal(sig) }
-	kind := random.IntN(7)
+	kind := random.IntN(8)
 	ginkgo.GinkgoWriter.Println("host fault", h.ip, kind, duration)
 	switch kind {
 	case 0:
@@ -308,7 +310,63 @@
 		gomega.Eventually(h.session.Out.Contents, waitLimit).ShouldNot(gomega.BeEmpty())
 		signal(syscall.SIGHUP)
 		time.Sleep(duration / 10)
+	case 7:
+		if h.settings.Fleet.Duty == loader.FleetControl && !s.replaced {
+			s.replaceControlHost(h, duration, random.IntN(2) == 0)
+		}
+	}
+}
+
+// replaceControlHost ends a control host for good and starts one at another address with an empty disk,
+// before the old one gets SIGTERM or after it was killed. It does so once for each seed, since the
+// backend servers know only the first control hosts.
+func (s *soak) replaceControlHost(old *soakHost, pause time.Duration, planned bool) {
+	s.replaced = true
+	h := &soakHost{ip: old.ip[:strings.LastIndexByte(old.ip, '.')] + ".119", settings: old.settings}
+	h.settings.Host = identifier.HostID(h.address(soakPeerPort))
+	h.settings.Listen = loader.Listen{
+		BackendServers: identifier.Address(h.address(soakControlPort)),
+		Operators:      identifier.Address(h.address(soakOperatorPort)),
+		Peers:          identifier.Address(h.address(soakPeerListenPort)),
+	}
+	h.settings.Control.DataFolder = filepath.Join(s.deployment.folder, "data-replacement")
+	s.startRelay(h)
+	end := func(sig syscall.Signal) {
+		old.session.Signal(sig)
+		old.session.Wait(waitLimit)
+		old.relay.Close()
+	}
+	if planned {
+		s.startHost(h)
+		time.Sleep(pause)
+		end(syscall.SIGTERM)
+	} else {
+		end(syscall.SIGKILL)
+		time.Sleep(pause)
+		s.startHost(h)
 	}
+	s.hostsMutex.Lock()
+	s.hosts[slices.Index(s.hosts, old)] = h
+	s.hostsMutex.Unlock()
+	// Until the group has adapted, it tolerates no other loss.
+	time.Sleep(soakReplacementTime)
+}
+
+// host returns a host by its index.
+func (s *soak) host(i int) *soakHost {
+	s.hostsMutex.Lock()
+	defer s.hostsMutex.Unlock()
+	return s.hosts[i]
+}
+
+// startRelay starts the relay in front of a host.
+func (s *soak) startRelay(h *soakHost) {
+	var err error
+	h.relay, err = relayer.New(relayer.Parameters{
+		Listen: identifier.Address(h.address(soakPeerPort)), Target: h.settings.Listen.Peers, Delay: time.Millisecond,
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(h.relay.Close)
 }
 
 // restartWithEmptyDisk kills a host, removes its data folder if it has one, and restarts
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/onsi/ginkgo/v2"
@@ -25,6 +26,7 @@
 	cancelled []identifier.AttemptID
 	messages  []reducer.Send
 	outcomes  map[identifier.RequestID]reducer.RequestOutcome
+	view      *reducer.FleetView
 }
 
 const (
@@ -74,7 +76,7 @@
 }
 
 func newEntryHost(v *reducer.FleetView) *entryHost {
-	e := &entryHost{outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, wake: identifier.Never}
+	e := &entryHost{outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, wake: identifier.Never, view: v}
 	e.state = reducer.New(reducer.Parameters{
 		Host: "10.0.0.1:70", Domain: domain(0), Strict: true,
 		Duty: reducer.EntryDuty{
@@ -134,6 +136,23 @@
 	}})
 }
 
+// changeServers publishes a view with changed servers of a service, or without them if change is nil.
+func (e *entryHost) changeServers(id identifier.ServiceID, change func(*reducer.Backend)) {
+	e.view.Backends = maps.Clone(e.view.Backends)
+	backends := slices.Clone(e.view.Backends[id])
+	for i := range backends {
+		if change != nil {
+			change(&backends[i])
+		}
+	}
+	if change == nil {
+		backends = nil
+	}
+	e.view.Backends[id] = backends
+	published := *e.view
+	e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 4, Fleet: &published}})
+}
+
 func (e *entryHost) fail(index int) {
 	x := e.sent[index]
 	e.reduce(reducer.ExchangeAnswered{Attempt: x.Attempt, Server: x.Server, Answer: reducer.ServerAnswer{Signature: "bad"}})
@@ -243,6 +262,31 @@
 			declined(reducer.ServersFailed, reducer.RanMaybe),
 		},
 		{"that must not be repeated gets no hedge", "/post/1", func(e *entryHost) { e.advance(900 * identifier.Millisecond) }, 1, nil},
+		{"gets the answer of a server that has become silent meanwhile", "/post/1", func(e *entryHost) {
+			e.changeServers("archive", func(b *reducer.Backend) { b.Silent = true })
+			e.advance(600 * identifier.Millisecond)
+			e.answer(0)
+		}, 1, relayed(true)},
+		{"gets the answer of a server that has left the list meanwhile", "/post/1", func(e *entryHost) {
+			e.changeServers("archive", nil)
+			e.advance(600 * identifier.Millisecond)
+			e.answer(0)
+		}, 1, relayed(true)},
+		{"is not sent again when its servers are silent for a while", "/archive/1", func(e *entryHost) {
+			e.changeServers("archive", func(b *reducer.Backend) { b.Silent = true })
+			e.advance(20 * identifier.Millisecond)
+			e.changeServers("archive", func(b *reducer.Backend) { b.Silent = false })
+			e.answer(0)
+		}, 1, relayed(true)},
+		{"gets the parts of shards whose servers have become silent meanwhile", "/search/1", func(e *entryHost) {
+			for i := range shardCount {
+				e.changeServers(identifier.ServiceID(fmt.Sprintf("shard-%d", i)), func(b *reducer.Backend) { b.Silent = true })
+			}
+			e.advance(10 * identifier.Millisecond)
+			for i := range shardCount {
+				e.answer(i)
+			}
+		}, shardCount, gathered(0)},
 		{"that must not be repeated is retried when refused", "/post/1", func(e *entryHost) {
 			e.refuse(0, reducer.ExchangeMisdirected)
 			e.answer(1)
