--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,7 +28,6 @@
 
 	"github.com/lagooncleat/lagooncleat/internal/caller"
 	"github.com/lagooncleat/lagooncleat/internal/dialer"
-	"github.com/lagooncleat/lagooncleat/internal/drainer"
 	"github.com/lagooncleat/lagooncleat/internal/exchanger"
 	"github.com/lagooncleat/lagooncleat/internal/executor"
 	"github.com/lagooncleat/lagooncleat/internal/journaler"
@@ -59,7 +58,6 @@
 	caller    *caller.Caller
 	exchanger *exchanger.Exchanger
 	servers   map[ListenerIndex]*http.Server
-	drainers  map[ListenerIndex]*drainer.Drainer
 	listeners Listeners
 	journal   *journaler.Journaler
 	group     sync.WaitGroup
@@ -150,7 +148,7 @@
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
 	return &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
-		servers: map[ListenerIndex]*http.Server{}, drainers: map[ListenerIndex]*drainer.Drainer{},
+		servers: map[ListenerIndex]*http.Server{},
 	}
 }
 
@@ -194,26 +192,18 @@
 }
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
-	d := drainer.New(r.listeners[l])
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnState: d.ConnState, ConnContext: ranger.ConnContext}
-	r.servers[l], r.drainers[l] = server, d
+	server := newServer(h)
+	r.servers[l] = server
 	r.group.Go(func() {
-		err := server.Serve(d)
-		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(r.listeners[l]); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
 }
 
-// drain answers the requests that have arrived on a listener and accepts no others.
-func (r *Runner) drain(ctx context.Context, l ListenerIndex) {
-	server, ok := r.servers[l]
-	if !ok {
-		return
-	}
-	if err := r.drainers[l].Drain(ctx, server); err != nil {
-		r.logger.Warn("requests were still in flight at the shutdown timeout", "error", err)
-	}
+// newServer returns an HTTP server that knows the distance to its clients.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnContext: ranger.ConnContext}
 }
 
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
@@ -239,9 +229,12 @@
 	timeout := time.Duration(r.settings.Shutdown.TimeoutMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	r.drain(ctx, Callers)
+	if callers, ok := r.servers[Callers]; ok {
+		if err := callers.Shutdown(ctx); err != nil {
+			r.logger.Warn("queries were still in flight at the shutdown timeout", "error", err)
+		}
+	}
 	r.host.Leave(ctx)
-	r.drain(ctx, BackendServers)
 	r.Kill()
 	r.logger.Info("shutdown done", "host", r.settings.Host)
 }
