pkg/replicator: remove a silent voter before its learner is promoted

The leader promoted the learner first and stepped down at once, since a quorum of the four voters had not replied of late. The next leader found the old voter silent only SilentVoterTimeout later. Until then one host restarted and another lost its disk: two of four voters were left.

A learner is promoted only while a quorum of the new membership replies.

--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -138,9 +138,10 @@
 	r.appendAsLeader(MembershipChange{Members: m})
 }
 
-// advanceMembership takes the next step for a learner that has caught up: it removes the voter whose
-// disk the learner replaces, or promotes the learner. It removes a learner that has been silent for
-// LearnerTimeout, and a voter that the group can do without.
+// advanceMembership takes the next step for a learner that has caught up: it removes the voter that the
+// learner replaces, or promotes the learner. The voter is removed first, since a new leader then promotes
+// the learner at once, while it would take SilentVoterTimeout to find the voter silent. It removes a
+// learner that has been silent for LearnerTimeout, and a voter that the group can do without.
 func (r *Replicator[C, S]) advanceMembership() {
 	if r.role != leader || !r.mayChangeMembers() || r.removeSilentVoter() {
 		return
@@ -168,9 +169,13 @@
 				return
 			}
 		}
-		if r.mayPromote(ready) {
-			x.Voter = true
-			r.appendMembership(r.Members().with(x))
+		if silent, ok := r.silentVoter(); ok && r.Members().Voters()%2 != 0 {
+			r.replaceVoter(silent)
+			return
+		}
+		x.Voter = true
+		if promoted := r.Members().with(x); r.mayPromote(ready) && r.quorumActive(promoted) {
+			r.appendMembership(promoted)
 			return
 		}
 	}
@@ -187,11 +192,7 @@
 // the quorum without letting the group bear the loss of another host. The last learner then waits to
 // replace a voter that falls silent.
 func (r *Replicator[C, S]) mayPromote(ready int) bool {
-	if !r.parameters.AutoJoin || r.Members().Voters()%2 == 0 || ready > 1 {
-		return true
-	}
-	_, silent := r.silentVoter()
-	return silent
+	return !r.parameters.AutoJoin || r.Members().Voters()%2 == 0 || ready > 1
 }
 
 // removeSilentVoter removes a silent voter if the number of voters is even, and reports whether it
--- a/pkg/replicator/protocol_test.go
+++ b/pkg/replicator/protocol_test.go
@@ -27,12 +27,16 @@
 // newSingleReplica recovers h-1 in term 3 with the initial membership of term 1 and a
 // command of term 2.
 func newSingleReplica() *singleReplica {
-	s := &singleReplica{node: replicator.New[int, history](replicator.Parameters{
-		Self: threeVoters[0].Peer, Hosts: []identifier.HostID{"h-1", "h-2", "h-3"},
-		Require: func(holds bool, i replicator.Invariant, detail string) {
-			gomega.Expect(holds).To(gomega.BeTrue(), "%s: %s", i, detail)
-		},
-	}, 0)}
+	return newReplicaOf(replicator.Parameters{})
+}
+
+// newReplicaOf is newSingleReplica with further parameters.
+func newReplicaOf(p replicator.Parameters) *singleReplica {
+	p.Self, p.Hosts = threeVoters[0].Peer, []identifier.HostID{"h-1", "h-2", "h-3"}
+	p.Require = func(holds bool, i replicator.Invariant, detail string) {
+		gomega.Expect(holds).To(gomega.BeTrue(), "%s: %s", i, detail)
+	}
+	s := &singleReplica{node: replicator.New[int, history](p, 0)}
 	s.node.Recover(0, replicator.Recovered[history]{
 		Hard: replicator.HardState{Group: 1, Term: 3},
 		Entries: []replicator.Entry{
@@ -202,6 +206,33 @@
 		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(threeVoters[0], threeVoters[1], learner))
 	})
 
+	ginkgo.It("removes a silent voter before it promotes the learner that replaces it", func() {
+		s := newReplicaOf(replicator.Parameters{AutoJoin: true})
+		s.elect()
+		s.receive(2, 4, replicator.AppendReply{Match: 3})
+		joining := replicator.Peer{Host: "h-4", Replica: 9}
+		s.node.Receive(s.now, replicator.Envelope{From: joining, To: replicator.Peer{Host: "h-1"}, Message: replicator.Probe{Empty: true}})
+		s.take()
+		reply := func(match identifier.LogIndex) {
+			s.receive(2, 4, replicator.AppendReply{Match: match})
+			s.node.Receive(s.now, replicator.Envelope{
+				Group: 1, From: joining, To: threeVoters[0].Peer, Term: 4, Message: replicator.AppendReply{Match: match},
+			})
+			s.take()
+		}
+		learner := replicator.Member{Peer: joining}
+		for elapsed := identifier.Micros(0); elapsed < replicator.SilentVoterTimeout; elapsed += replicator.HeartbeatInterval {
+			gomega.Expect(s.node.Members()).To(gomega.ConsistOf(threeVoters[0], threeVoters[1], threeVoters[2], learner))
+			reply(4)
+			s.now = s.now.Add(replicator.HeartbeatInterval)
+		}
+		reply(4)
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(threeVoters[0], threeVoters[1], learner))
+		reply(5)
+		learner.Voter = true
+		gomega.Expect(s.node.Members()).To(gomega.ConsistOf(threeVoters[0], threeVoters[1], learner))
+	})
+
 	ginkgo.It("sends nothing once its storage has failed", func() {
 		s := newSingleReplica()
 		s.elect()
