--- a/review/rig/attempts.go
+++ b/review/rig/attempts.go
@@ -72,7 +72,7 @@
 			s.pause()
 		}
 	}
-	if status, err := f.put(routeConfig(1, to)); err != nil || status != 200 {
+	if status, err := f.put(routesConfig(1, to)); err != nil || status != 200 {
 		return nil, fmt.Errorf("%w: configuration: status %d, %v", errNotRun, status, err)
 	}
 	if err := f.waitReady(); err != nil {
--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -7,26 +7,33 @@
 	"time"
 )
 
-// routeConfig returns a configuration with one route.
-func routeConfig(version int, r route) string {
+// routesConfig returns a configuration with some routes.
+func routesConfig(version int, routes ...route) string {
+	var declared, services []map[string]any
+	for _, r := range routes {
+		declared = append(declared, r.declaration())
+		for _, name := range r.services {
+			services = append(services, service(name, 30))
+		}
+	}
+	return configuration(version, declared, services)
+}
+
+func (t *route) declaration() map[string]any {
 	kind := "idempotent"
-	if r.unsafe {
+	if t.unsafe {
 		kind = "non_idempotent"
 	}
 	declared := map[string]any{
-		"name": r.name, "hostname": r.host, "pathPrefix": r.prefix, "routeKind": kind,
-		"timeoutMs": r.deadline.Milliseconds(), "targetLatencyMs": r.target.Milliseconds(), "priority": 1, "attempts": r.attempts,
+		"name": t.name, "hostname": t.host, "pathPrefix": t.prefix, "routeKind": kind,
+		"timeoutMs": t.deadline.Milliseconds(), "targetLatencyMs": t.target.Milliseconds(), "priority": 1, "attempts": t.attempts,
 	}
-	if r.single {
-		declared["backend"] = r.services[0]
+	if t.single {
+		declared["backend"] = t.services[0]
 	} else {
-		declared["gather"], declared["topK"], declared["minCoverage"] = r.services, r.topK, r.minCoverage
-	}
-	var services []map[string]any
-	for _, name := range r.services {
-		services = append(services, service(name, 30))
+		declared["gather"], declared["topK"], declared["minCoverage"] = t.services, t.topK, t.minCoverage
 	}
-	return configuration(version, []map[string]any{declared}, services)
+	return declared
 }
 
 func service(name string, connections int) map[string]any {
--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -55,7 +55,7 @@
 		servers = append(servers, s)
 		s.announce(f.controls())
 	}
-	if status, err := f.put(routeConfig(1, to)); err != nil || status != http.StatusOK {
+	if status, err := f.put(routesConfig(1, to)); err != nil || status != http.StatusOK {
 		return servers, nil, fmt.Errorf("%w: configuration: status %d, %v", errNotRun, status, err)
 	}
 	if err := f.waitReady(); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"too-many-attempts": tooManyAttempts,
+	"address-taken":     addressTaken,
 	"drain-overridden":  drainOverridden,
 }
 
