--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -62,6 +62,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotRun, err)
 	}
+	s := serverAt(r, l, id, service, zone, work)
+	s.serve(l)
+	return s, nil
+}
+
+// serverAt returns a server for a listener; serve starts it.
+func serverAt(r *record, l net.Listener, id, service, zone string, work time.Duration) *server {
 	s := &server{
 		id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), record: r,
 		slots: make(chan struct{}, slotCount), work: work, stop: make(chan struct{}),
@@ -69,8 +76,11 @@
 	s.slowdown.Store(1)
 	s.state.Store("ready")
 	s.http = &http.Server{Handler: s, IdleTimeout: idleLimit}
+	return s
+}
+
+func (s *server) serve(l net.Listener) {
 	s.group.Go(func() { _ = s.http.Serve(l) })
-	return s, nil
 }
 
 // announce sends heartbeats to the control hosts until close. It uses the address that the last answer
