review/1: bytes after a complete answer make a request run twice

A faulty server sends additional bytes after a complete answer: a response with 421 that bears no request id. It is taken for the answer to the next request on the connection, which must not be repeated; that request is sent to a second server while the first one runs it (TWICE). Only successes without an id are skipped.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"too-many-attempts": tooManyAttempts,
 	"address-taken":     addressTaken,
+	"late-bytes":        lateBytes,
 	"drain-overridden":  drainOverridden,
 }
 
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -182,8 +182,11 @@
 	}
 	s.waitPause()
 	s.record.write("server %s runs %s", s.id, id)
-	if s.ran != nil {
-		s.ran(s, id)
+	s.mutex.Lock()
+	ran := s.ran
+	s.mutex.Unlock()
+	if ran != nil {
+		ran(s, id)
 	}
 	duration := time.Duration(float64(s.work) * float64(s.slowdown.Load()) * (0.65 + 0.7*rand.Float64()))
 	select {
