--- a/review/rig/attempts.go
+++ b/review/rig/attempts.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -103,17 +104,22 @@
 			return nil, fmt.Errorf("%w: no request was served", errNotRun)
 		}
 	}
-	var broken []string
+	surplus := map[string]bool{}
 	counted.mutex.Lock()
 	defer counted.mutex.Unlock()
 	for key, set := range counted.servers {
 		if len(set) > maxAttempts {
 			f.record.write("BROKEN: %s ran on %d servers", key, len(set))
-			broken = append(broken, fmt.Sprintf("%s ran on %d servers", key, len(set)))
+			id, _, _ := strings.Cut(key, " ")
+			surplus[id] = true
 		}
 	}
-	if len(broken) <= allowedRequests {
+	if len(surplus) <= allowedRequests {
 		return nil, nil
 	}
+	var broken []string
+	for id := range surplus {
+		broken = append(broken, id+" ran on more servers of a shard than its attempts")
+	}
 	return broken, nil
 }
