--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -90,7 +90,10 @@
 		target := rand.IntN(len(controls))
 		s.target.Store(controls[target])
 		for {
-			if _, ok := s.beat(s.target.Load().(string), s.state.Load().(string)); !ok {
+			control, state := s.target.Load().(string), s.state.Load().(string)
+			status, ok := s.beat(control, state)
+			s.record.write("heartbeat of %s, %s, to %s: status %d", s.id, state, control, status)
+			if !ok {
 				target = (target + 1) % len(controls)
 				s.target.Store(controls[target])
 			}
