--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -39,6 +39,8 @@
 	record                     *record
 	slots                      chan struct{}
 	waiting                    atomic.Int32
+	// garbling is set while the server sends additional bytes after some answers.
+	garbling atomic.Bool
 	// work is the mean service time of a request, and slowdown a factor on it.
 	work     time.Duration
 	slowdown atomic.Int64
