--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -114,7 +114,18 @@
 	return in[(c+attempt)%len(in)]
 }
 
-// request sends one request of a client, and once more after a failure.
+// result is how a client attempt ended.
+type result int
+
+const (
+	served result = iota
+	// notRun attempts got a status that promises that they never run.
+	notRun
+	mayHaveRun
+)
+
+// request sends one request of a client, and once more after a failure. A request that may run once only is
+// sent again only if it has not run.
 func (t *traffic) request(c int) {
 	end := time.Now().Add(t.route.deadline)
 	number := t.next.Add(1)
@@ -123,13 +134,16 @@
 	t.sent++
 	t.mutex.Unlock()
 	for attempt := range 2 {
-		wait, done := t.attempt(c, attempt, path, fmt.Sprintf("%s-%d-%d", t.zone, number, attempt), end)
-		if done {
+		wait, result := t.attempt(c, attempt, path, fmt.Sprintf("%s-%d-%d", t.zone, number, attempt), end)
+		if result == served {
 			t.mutex.Lock()
 			t.served++
 			t.mutex.Unlock()
 			return
 		}
+		if result == mayHaveRun && t.route.unsafe {
+			break
+		}
 		if left := time.Until(end); wait > left/3 {
 			wait = left / 3
 		}
@@ -140,13 +154,12 @@
 	t.mutex.Unlock()
 }
 
-// attempt sends one client attempt. It returns how long to wait before the next one, and whether this one
-// was served.
-func (t *traffic) attempt(c, attempt int, path, id string, end time.Time) (time.Duration, bool) {
+// attempt sends one client attempt. It returns how long to wait before the next one, and how this one ended.
+func (t *traffic) attempt(c, attempt int, path, id string, end time.Time) (time.Duration, result) {
 	node := t.node(c, attempt)
 	left := time.Until(end)
 	if left <= 0 {
-		return 0, false
+		return 0, mayHaveRun
 	}
 	ctx, cancel := context.WithTimeout(t.context, left)
 	defer cancel()
@@ -156,7 +169,7 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+t.fleet.frontOf(node)+path, strings.NewReader(content))
 	if err != nil {
-		return 0, false
+		return 0, mayHaveRun
 	}
 	request.Host = t.route.host
 	request.Header.Set("X-Request-Id", id)
@@ -166,18 +179,22 @@
 	response, err := t.clients[c].http.Do(request)
 	if err != nil {
 		t.record.write("client of %s: no answer: %v", id, err)
-		return 0, false
+		return 0, mayHaveRun
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		t.record.write("client of %s: incomplete answer: %v", id, err)
-		return 0, false
+		return 0, mayHaveRun
 	}
 	t.record.write("client of %s: status %d from %s", id, response.StatusCode, node.name)
 	if response.StatusCode != http.StatusOK {
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-		return time.Duration(seconds * float64(time.Second)), false
+		ended := mayHaveRun
+		if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
+			ended = notRun
+		}
+		return time.Duration(seconds * float64(time.Second)), ended
 	}
 	wrong := t.route.check(id, path, response.Header, body)
 	if wrong != "" {
@@ -186,5 +203,5 @@
 		t.broken = append(t.broken, id+": "+wrong)
 		t.mutex.Unlock()
 	}
-	return 0, true
+	return 0, served
 }
--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -35,6 +35,31 @@
 // lateBytes lets servers send additional bytes after some complete answers, late. A request that must not be
 // repeated may still run once only.
 func lateBytes(f *fleet, trouble bool) ([]string, error) {
+	counted := &runCounts{runs: map[string][]string{}}
+	if _, err := postEntries(f, func(s *server, c net.Conn) { s.converseRaw(c, counted) }, func(s *server) {
+		s.garbling.Store(trouble)
+		time.Sleep(garbleTime)
+		s.garbling.Store(false)
+		time.Sleep(garblePause)
+	}); err != nil {
+		return nil, err
+	}
+	var broken []string
+	counted.mutex.Lock()
+	defer counted.mutex.Unlock()
+	for id, ran := range counted.runs {
+		if len(ran) > 1 {
+			f.record.write("BROKEN: %s ran at %v", id, ran)
+			broken = append(broken, fmt.Sprintf("%s ran at %v", id, ran))
+		}
+	}
+	return broken, nil
+}
+
+// postEntries starts a route whose requests may run once only, to one service with a server in each zone, and
+// the clients of all zones. It calls disturb with the first server garbleCount times, and returns what clients
+// found wrong in successes. A server calls converse for each connection.
+func postEntries(f *fleet, converse func(*server, net.Conn), disturb func(*server)) ([]string, error) {
 	zones := []string{"savo-a", "savo-b", "savo-c"}
 	if err := f.start(zones, []int{2, 3, 1}); err != nil {
 		return nil, err
@@ -43,7 +68,6 @@
 		name: "r-entries", host: "entries.example", prefix: "/entries/", single: true, unsafe: true, services: []string{"logbook"},
 		attempts: 2, deadline: 5 * time.Second, target: time.Second,
 	}
-	counted := &runCounts{runs: map[string][]string{}}
 	var servers []*server
 	defer func() {
 		for _, s := range servers {
@@ -57,7 +81,7 @@
 		}
 		s := serverAt(f.record, l, fmt.Sprintf("i-%d", i), to.services[0], zone, archiveWork/4)
 		servers = append(servers, s)
-		s.acceptRaw(l, counted)
+		s.acceptRaw(l, converse)
 		s.announce(f.controls())
 	}
 	if status, err := f.put(routesConfig(1, to)); err != nil || status != http.StatusOK {
@@ -74,32 +98,22 @@
 		t.start()
 	}
 	for range garbleCount {
-		servers[0].garbling.Store(trouble)
-		time.Sleep(garbleTime)
-		servers[0].garbling.Store(false)
-		time.Sleep(garblePause)
+		disturb(servers[0])
 	}
+	var wrong []string
 	for _, t := range all {
 		t.close()
 		f.record.write("zone %s: %d requests, %d served, %d unserved", t.zone, t.sent, t.served, t.unserved)
 		if t.served == 0 {
 			return nil, fmt.Errorf("%w: no request was served", errNotRun)
 		}
+		wrong = append(wrong, t.broken...)
 	}
-	var broken []string
-	counted.mutex.Lock()
-	defer counted.mutex.Unlock()
-	for id, ran := range counted.runs {
-		if len(ran) > 1 {
-			f.record.write("BROKEN: %s ran at %v", id, ran)
-			broken = append(broken, fmt.Sprintf("%s ran at %v", id, ran))
-		}
-	}
-	return broken, nil
+	return wrong, nil
 }
 
-// acceptRaw serves connections until close.
-func (s *server) acceptRaw(l net.Listener, counted *runCounts) {
+// acceptRaw accepts connections until close, and calls converse for each.
+func (s *server) acceptRaw(l net.Listener, converse func(*server, net.Conn)) {
 	s.group.Go(func() {
 		<-s.stop
 		l.Close()
@@ -110,7 +124,18 @@
 			if err != nil {
 				return
 			}
-			s.group.Go(func() { s.converseRaw(c, counted) })
+			s.group.Go(func() {
+				ended := make(chan struct{})
+				defer close(ended)
+				go func() {
+					select {
+					case <-s.stop:
+					case <-ended:
+					}
+					c.Close()
+				}()
+				converse(s, c)
+			})
 		}
 	})
 }
@@ -118,16 +143,6 @@
 // converseRaw serves one request after the other on a connection. After some answers it sends additional
 // bytes, at the point where the next response is expected.
 func (s *server) converseRaw(c net.Conn, counted *runCounts) {
-	defer c.Close()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		select {
-		case <-s.stop:
-			c.Close()
-		case <-ended:
-		}
-	}()
 	r := bufio.NewReader(c)
 	for extra := false; ; extra = s.garbling.Load() && rand.Float64() < extraShare {
 		request, err := http.ReadRequest(r)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,6 +24,7 @@
 	"address-taken":     addressTaken,
 	"late-bytes":        lateBytes,
 	"drain-overridden":  drainOverridden,
+	"spoiled-answers":   spoiledAnswers,
 }
 
 func main() { os.Exit(run()) }
