review/3: an acknowledged leave of a server is forgotten when processes are killed

A control host acknowledges a server's leave before the server list is on a disk. When all control hosts are killed within 50 ms after the write before, the server is in use again after the restart, for 4.8 s as a present one.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 # With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/rig drain-overridden "$PWD" review/4 "${TROUBLE:-1}"
+exec review/bin/rig address-taken "$PWD" review/4 "${TROUBLE:-1}"
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -43,8 +43,10 @@
 	broken                 []string
 	sent, served, unserved int
 	rotation               map[*process]int
-	context                context.Context
-	cancel                 context.CancelFunc
+	// sending is called with the ID of each client attempt before it is sent, if it is set.
+	sending func(id string)
+	context context.Context
+	cancel  context.CancelFunc
 }
 
 // client keeps its connections open between requests.
@@ -175,6 +177,9 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	request.Header.Set("Accept-Encoding", "identity")
+	if t.sending != nil {
+		t.sending(id)
+	}
 	t.record.write("client sends %s to %s", id, node.name)
 	response, err := t.clients[c].http.Do(request)
 	if err != nil {
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -218,16 +218,24 @@
 	_ = p.command.Process.Signal(s)
 }
 
-// restart kills the process of a host and starts it again after the delay, with bootstrap false.
-func (f *fleet) restart(p *process, delay time.Duration) error {
-	p.signal(syscall.SIGKILL)
-	f.record.write("%s killed", p.name)
-	<-p.ended
-	if err := f.writeSettings(p, false); err != nil {
-		return err
+// restart kills the processes of hosts at the same moment and starts them again after the delay, with
+// bootstrap false.
+func (f *fleet) restart(delay time.Duration, hosts ...*process) error {
+	for _, p := range hosts {
+		p.signal(syscall.SIGKILL)
+		f.record.write("%s killed", p.name)
 	}
 	time.Sleep(delay)
-	return f.launch(p)
+	for _, p := range hosts {
+		<-p.ended
+		if err := f.writeSettings(p, false); err != nil {
+			return err
+		}
+		if err := f.launch(p); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // close ends all processes and removes the temporary folder.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,8 +23,8 @@
 	"too-many-attempts": tooManyAttempts,
 	"address-taken":     addressTaken,
 	"late-bytes":        lateBytes,
-	"drain-overridden":  drainOverridden,
 	"spoiled-answers":   spoiledAnswers,
+	"leave-forgotten":   leaveForgotten,
 }
 
 func main() { os.Exit(run()) }
