--- a/review/rig/leave.go
+++ b/review/rig/leave.go
@@ -19,9 +19,10 @@
 	// contactBound is contactMs.
 	contactBound = 4 * time.Second
 	// leaveAfter is how long traffic runs before servers leave, and serveOn how long they go on serving after
-	// their leave was acknowledged.
-	leaveAfter = 5 * time.Second
-	serveOn    = 9 * time.Second
+	// their leave was acknowledged. The last heartbeat before a leave arrives heartbeatDelay late.
+	leaveAfter     = 5 * time.Second
+	serveOn        = 11 * time.Second
+	heartbeatDelay = 5 * time.Second
 )
 
 // arrivals holds when requests reached a server that leaves.
@@ -107,6 +108,15 @@
 		}
 		s.left.Store(true)
 		control := s.target.Load().(string)
+		last, err := s.heartbeat("ready")
+		if err != nil {
+			return nil, err
+		}
+		late := time.AfterFunc(heartbeatDelay, func() {
+			status, _ := call(http.MethodPut, control, s.id, last)
+			f.record.write("last heartbeat of %s before its leave arrives: status %d", s.id, status)
+		})
+		defer late.Stop()
 		status, _ := call(http.MethodDelete, control, s.id, nil)
 		acknowledged[i] = time.Now()
 		f.record.write("%s leaves at %s: status %d", s.id, control, status)
@@ -115,6 +125,7 @@
 		}
 	}
 	inTouch := time.Now()
+	afterTwice := 0
 	if trouble {
 		time.Sleep(killDelay)
 		var hosts []*process
@@ -143,10 +154,14 @@
 			late := a.at.Sub(acknowledged[i]) - drainBound
 			if ok && late > 0 && at.(time.Time).After(inTouch) {
 				f.record.write("BROKEN: %s reached %s %v after the bound", a.id, s.id, late)
+				if at.(time.Time).After(inTouch.Add(contactBound)) {
+					afterTwice++
+				}
 				broken = append(broken, fmt.Sprintf("%s reached %s %v after the bound", a.id, s.id, late))
 			}
 		}
 		reached[i].mutex.Unlock()
 	}
+	f.record.write("%d of these were sent later than twice contactMs after the last start", afterTwice)
 	return broken, nil
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -112,12 +112,17 @@
 
 var heartbeatClient = http.Client{Timeout: time.Second}
 
-// beat sends one heartbeat and reports its status and whether it was acknowledged.
-func (s *server) beat(control, state string) (int, bool) {
-	body, err := json.Marshal(map[string]any{
+// heartbeat returns the body of the next heartbeat.
+func (s *server) heartbeat(state string) ([]byte, error) {
+	return json.Marshal(map[string]any{
 		"backend": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": slotCount,
 		"state": state, "warmupLeftMs": 0, "seq": s.sequence.Add(1), "born": s.born,
 	})
+}
+
+// beat sends one heartbeat and reports its status and whether it was acknowledged.
+func (s *server) beat(control, state string) (int, bool) {
+	body, err := s.heartbeat(state)
 	if err != nil {
 		return 0, false
 	}
