--- a/review/rig/leave.go
+++ b/review/rig/leave.go
@@ -13,7 +13,7 @@
 	// leaveGap is the time between the leaves of two servers, and killDelay the time from the acknowledgement
 	// of the last one until processes are killed.
 	leaveGap  = 10 * time.Millisecond
-	killDelay = 20 * time.Millisecond
+	killDelay = 8 * time.Millisecond
 	// backAfter is when killed processes are started again.
 	backAfter = 900 * time.Millisecond
 	// contactBound is contactMs.
