pkg/reducer: acknowledge a leave once a quorum has stored it

Cause: withdraw and handleAnnouncement answered as soon as the leave was in memory. Each control host wrote its list up to 50 ms after its last write, and restored the older one after the kill. The list is one disk's, so an earlier write would not help a host that lost its disk or was cut off or frozen while the server left. Ruled out: the late announcement as the cause; it only prolongs a lease that the restored list has granted.

Change: ServersDeparted, a command of the replicated log, records the server, its incarnation and the stage, for withdrawals and draining announcements alike; the answer waits for the commit. One command is in flight on each control host, later departures share the next one. The early write of the list is removed. A control host that doesn't know the server declines its withdrawal.

The tests' disk kept writes that were not synced yet; it keeps synced ones only now.

--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -41,6 +41,7 @@
 		reducer.PartsCancelled{From: "h-1", Request: "q"},
 		proposal(reducer.ConfigurationDeclared{Source: declarer.Source{Version: 9, Packed: []byte("x")}}),
 		answer(reducer.DeclarationFound{Version: 9}),
+		proposal(reducer.ServersDeparted{At: 5, Departures: []reducer.Departure{{Server: "s-1", Incarnation: 3, Stage: reducer.Departed}}}),
 		reducer.ServerRelayed{From: "h-1", Stamp: reducer.Stamp{Sent: identifier.Instant(identifier.Second)}},
 	}
 	for _, s := range seeds {
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -57,6 +57,8 @@
 	Ledger   deduplicator.Snapshot[Outcome] `msgpack:"l"`
 	// Source is the declaration in force; its version is 0 if there is none.
 	Source declarer.Source `msgpack:"d"`
+	// Departures are the recent departures of backend servers, in order of server.
+	Departures []RecordedDeparture `msgpack:"p"`
 }
 
 // replicated is the state that every control host maintains by applying commands.
@@ -64,10 +66,12 @@
 	registry *registrar.Registry
 	ledger   *deduplicator.Ledger[Outcome]
 	source   committedDeclaration
+	// departures holds the departures of backend servers that were acknowledged.
+	departures departures
 }
 
 func newReplicated() replicated {
-	return replicated{registry: registrar.New(), ledger: deduplicator.New[Outcome](ledgerLimits)}
+	return replicated{registry: registrar.New(), ledger: deduplicator.New[Outcome](ledgerLimits), departures: departures{}}
 }
 
 // withProposalTime returns the command with the time at which the leader proposes it.
@@ -88,6 +92,9 @@
 	case OutcomeRecorded:
 		c.Intent.At = at
 		return c
+	case ServersDeparted:
+		c.At = at
+		return c
 	}
 	return c
 }
@@ -124,6 +131,9 @@
 	case ConfigurationDeclared:
 		s.applyDeclaration(c)
 		return Committed{}
+	case ServersDeparted:
+		s.applyDepartures(c)
+		return Committed{}
 	}
 	panic(fmt.Sprintf("reducer: unknown command %T", c))
 }
@@ -134,6 +144,8 @@
 		Registry: s.control.replicated.registry.Snapshot(),
 		Ledger:   s.control.replicated.ledger.Snapshot(),
 		Source:   s.control.replicated.source.Source,
+
+		Departures: s.control.replicated.departures.snapshot(),
 	}
 }
 
@@ -144,6 +156,11 @@
 		registry: registrar.Restore(c.Registry),
 		ledger:   deduplicator.Restore(ledgerLimits, c.Ledger),
 		source:   committedDeclaration{c.Source},
+
+		departures: restoreDepartures(c.Departures),
+	}
+	for _, d := range c.Departures {
+		s.listDeparture(d.Departure)
 	}
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		s.activateDeclaration()
--- /dev/null
+++ b/pkg/reducer/departure.go
@@ -0,0 +1,238 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/replicator"
+)
+
+const (
+	// DepartureTimeout limits the time to commit a departure; servers call another host after a second.
+	DepartureTimeout = 900 * identifier.Millisecond
+	// DepartureRetention is how long a departure is kept in the replicated log's state: longer than an
+	// earlier announcement of the server may be late.
+	DepartureRetention = GoneServerRetention
+	// maxDepartureBatch is the maximum number of departures in one command.
+	maxDepartureBatch = 1024
+)
+
+// ShutdownStage is how far the shutdown of a backend server has got.
+type ShutdownStage uint8
+
+// The stages of a backend server's shutdown.
+const (
+	// Operating servers have not announced a shutdown.
+	Operating ShutdownStage = iota
+	// Finishing servers complete their work and take no more.
+	Finishing
+	// Departed servers have left.
+	Departed
+)
+
+// Departure is the announced shutdown of one incarnation of a backend server.
+type Departure struct {
+	Server      identifier.ServerID    `msgpack:"s"`
+	Incarnation identifier.Incarnation `msgpack:"i"`
+	Stage       ShutdownStage          `msgpack:"t"`
+}
+
+// supersedes reports whether the departure replaces the other one of the same server.
+func (d Departure) supersedes(other Departure) bool {
+	if d.Incarnation != other.Incarnation {
+		return d.Incarnation > other.Incarnation
+	}
+	return d.Stage > other.Stage
+}
+
+// ServersDeparted records departures of backend servers. An earlier incarnation or stage has no effect.
+type ServersDeparted struct {
+	command
+	At         identifier.Instant `msgpack:"a"`
+	Departures []Departure        `msgpack:"d"`
+}
+
+// RecordedDeparture is a departure in the replicated state, with the time at which it was proposed.
+type RecordedDeparture struct {
+	Departure Departure          `msgpack:"d"`
+	At        identifier.Instant `msgpack:"a"`
+}
+
+// departures holds the last departure of each backend server.
+type departures map[identifier.ServerID]RecordedDeparture
+
+// record adds departures that were proposed at the instant, and removes those that are older than
+// DepartureRetention then.
+func (d departures) record(at identifier.Instant, list []Departure) {
+	for _, x := range list {
+		if known, ok := d[x.Server]; ok && !x.supersedes(known.Departure) {
+			continue
+		}
+		d[x.Server] = RecordedDeparture{Departure: x, At: at}
+	}
+	for id, x := range d {
+		if at.Since(x.At) > DepartureRetention {
+			delete(d, id)
+		}
+	}
+}
+
+// includes reports whether the departure, or one that supersedes it, is recorded.
+func (d departures) includes(x Departure) bool {
+	known, ok := d[x.Server]
+	return ok && !x.supersedes(known.Departure)
+}
+
+// stage returns the recorded stage of an incarnation of a server.
+func (d departures) stage(now identifier.Instant, a leaser.Announcement) ShutdownStage {
+	known, ok := d[a.Server]
+	if !ok || a.Incarnation > known.Departure.Incarnation || now.Since(known.At) > DepartureRetention {
+		return Operating
+	}
+	if a.Incarnation < known.Departure.Incarnation {
+		return Departed
+	}
+	return known.Departure.Stage
+}
+
+// snapshot returns the departures in order of server.
+func (d departures) snapshot() []RecordedDeparture {
+	list := make([]RecordedDeparture, 0, len(d))
+	for _, x := range d {
+		list = append(list, x)
+	}
+	slices.SortFunc(list, func(a, b RecordedDeparture) int { return cmp.Compare(a.Departure.Server, b.Departure.Server) })
+	return list
+}
+
+func restoreDepartures(list []RecordedDeparture) departures {
+	d := departures{}
+	for _, x := range list {
+		d[x.Departure.Server] = x
+	}
+	return d
+}
+
+// pendingDeparture is a departure that is not committed yet, and the answer for its server.
+type pendingDeparture struct {
+	departure Departure
+	grant     GrantLease
+	deadline  identifier.Instant
+}
+
+// departureQueue holds the departures that this control host has not acknowledged yet. One command at a
+// time is in flight, so that servers that leave together share a write.
+type departureQueue struct {
+	inFlight, waiting []pendingDeparture
+}
+
+// departureOrigin is the departureQueue.
+type departureOrigin struct{}
+
+func (departureOrigin) isOrigin() {}
+
+// departureOf returns the departure of a server that withdraws, and whether this host knows the server.
+func (s *State) departureOf(id identifier.ServerID) (Departure, bool) {
+	if known, ok := s.control.serverList.servers[id]; ok {
+		return Departure{Server: id, Incarnation: known.Announcement.Incarnation, Stage: Departed}, true
+	}
+	known, ok := s.control.replicated.departures[id]
+	return known.Departure, ok && known.Departure.Stage == Departed
+}
+
+// acknowledgeDeparture answers a backend server that has announced its shutdown, once that is
+// committed.
+func (s *State) acknowledgeDeparture(d Departure, grant GrantLease) {
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		s.emit(grant)
+		return
+	}
+	committed := s.control.replicated.departures.includes(d)
+	if committed || grant.Declined {
+		grant.Declined = !committed
+		s.emit(grant)
+		return
+	}
+	q := &s.control.departureQueue
+	q.waiting = append(q.waiting, pendingDeparture{d, grant, s.now.Add(DepartureTimeout)})
+	if len(q.inFlight) == 0 {
+		s.proposeDepartures()
+	}
+}
+
+// proposeDepartures proposes the waiting departures.
+func (s *State) proposeDepartures() {
+	q := &s.control.departureQueue
+	var list []Departure
+	for len(q.waiting) > 0 && len(list) < maxDepartureBatch {
+		p := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		if s.now >= p.deadline {
+			p.grant.Declined = true
+			s.emit(p.grant)
+			continue
+		}
+		q.inFlight = append(q.inFlight, p)
+		list = append(list, p.departure)
+	}
+	if len(list) > 0 {
+		s.startOperation(Proposal{Command: ServersDeparted{Departures: list}}, departureOrigin{}, s.now.Add(DepartureTimeout))
+	}
+}
+
+// answerDepartures answers the servers whose departures were in flight, and proposes those that waited
+// meanwhile.
+func (s *State) answerDepartures(committed bool) {
+	q := &s.control.departureQueue
+	answered := q.inFlight
+	q.inFlight = nil
+	if !committed {
+		s.log(MembershipSubsystem, Warn, "departures of backend servers not committed in time", Field{"servers", formatCount(len(answered))})
+	}
+	for _, p := range answered {
+		p.grant.Declined = !committed
+		s.emit(p.grant)
+	}
+	s.proposeDepartures()
+}
+
+// applyDepartures records committed departures and lists them.
+func (s *State) applyDepartures(c ServersDeparted) {
+	s.control.replicated.departures.record(c.At, c.Departures)
+	for _, d := range c.Departures {
+		s.listDeparture(d)
+	}
+}
+
+// listDeparture updates the server list to a departure, unless the server has started again since.
+func (s *State) listDeparture(d Departure) {
+	server, ok := s.control.serverList.servers[d.Server]
+	if !ok || server.Announcement.Incarnation > d.Incarnation || server.shutdownStage() >= d.Stage {
+		return
+	}
+	if d.Stage == Departed {
+		s.recordWithdrawal(d.Server)
+		return
+	}
+	a := server.Announcement
+	a.State = leaser.Draining
+	s.updateListedServer(a, server.Standing)
+}
+
+// listStoredDepartures lists the departures in entries that were stored before this host started. They
+// may not be committed, but the servers have announced them.
+func (s *State) listStoredDepartures(entries []replicator.Entry) {
+	for _, e := range entries {
+		proposal, ok := e.Content.(replicator.Proposal[Command])
+		if !ok {
+			continue
+		}
+		if c, ok := proposal.Command.(ServersDeparted); ok {
+			for _, d := range c.Departures {
+				s.listDeparture(d)
+			}
+		}
+	}
+}
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -64,7 +64,8 @@
 	synchronized bool
 	clockOffsets map[identifier.HostID]clockOffset
 	// The list of backend servers that control hosts keep for entry hosts.
-	serverList serverList
+	serverList     serverList
+	departureQueue departureQueue
 }
 
 type hostLease struct {
@@ -180,9 +181,9 @@
 // server.
 func (s *State) handleAnnouncement(e ServerAnnounced) {
 	grant := GrantLease{Ticket: e.Ticket, Term: s.leaseTerm(), Declined: !s.mayAcknowledge()}
-	if s.control.serverList.superseded(e.Announcement) {
+	if s.outdated(e.Announcement) {
 		s.log(MembershipSubsystem, Info, "late announcement ignored", Field{"server", string(e.Announcement.Server)})
-		s.emit(grant)
+		s.answerAnnouncement(e.Announcement, grant)
 		return
 	}
 	s.relayAnnouncement(e, s.recordAnnouncement(s.now, e.Announcement))
@@ -190,15 +191,34 @@
 		grant.Owner = server.Owner
 	}
 	grant.Address = s.announcementAddress(e.Announcement.Domain)
-	s.emit(grant)
+	s.answerAnnouncement(e.Announcement, grant)
+}
+
+// answerAnnouncement answers a backend server, and waits first until its shutdown, if it announces one,
+// is committed.
+func (s *State) answerAnnouncement(a leaser.Announcement, grant GrantLease) {
+	if a.State != leaser.Draining {
+		s.emit(grant)
+		return
+	}
+	s.acknowledgeDeparture(Departure{Server: a.Server, Incarnation: a.Incarnation, Stage: Finishing}, grant)
+}
+
+// outdated reports whether an announcement says less than this host knows: the server has left, or
+// another one has its address.
+func (s *State) outdated(a leaser.Announcement) bool {
+	return s.control.serverList.superseded(a) || s.control.replicated.departures.stage(s.now, a) == Departed
 }
 
 // recordAnnouncement renews a server's lease. It reports whether anything that affects routing has
 // changed.
 func (s *State) recordAnnouncement(at identifier.Instant, a leaser.Announcement) bool {
-	if s.control.serverList.superseded(a) {
+	if s.outdated(a) {
 		return false
 	}
+	if s.control.replicated.departures.stage(s.now, a) == Finishing {
+		a.State = leaser.Draining
+	}
 	changed := s.control.leases.Receive(at, a)
 	if changed {
 		if _, ok := s.parameters.Duty.(ControlDuty); ok {
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -365,6 +365,8 @@
 		s.emit(ReplyOperator{Ticket: o.ticket, Reply: s.fillDeclaration(e.Answer), Control: s.controlStatus()})
 	case queryOrigin:
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request, Answer: e.Answer}})
+	case departureOrigin:
+		s.answerDepartures(true)
 	}
 }
 
@@ -376,5 +378,7 @@
 		s.emit(ReplyOperator{Ticket: o.ticket, Reply: s.replyWithoutLeader(p.operation), Control: s.controlStatus()})
 	case queryOrigin:
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request}})
+	case departureOrigin:
+		s.answerDepartures(false)
 	}
 }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -150,8 +150,6 @@
 		s.checkQueue(t)
 	case estimateDue:
 		s.publishEstimates()
-	case shutdownStoreDue:
-		s.storeServerList()
 	case serverListDue:
 		s.pollServerLists()
 	case requestDue:
--- a/pkg/reducer/replication.go
+++ b/pkg/reducer/replication.go
@@ -115,6 +115,7 @@
 	}, NoCommand{})
 	s.control.replication.log.Recover(s.now, e.Stored)
 	s.restoreServerList(e.Roster)
+	s.listStoredDepartures(e.Stored.Entries)
 }
 
 // bootstrapped reports whether the deployment already has a replicated log, which a host with an
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -46,12 +46,9 @@
 	// serves no clients, or uses an old list.
 	UnsubscribedInterval = 100 * identifier.Millisecond
 	// ServerListStoreInterval is the minimum time between writes of the list to disk. Later changes
-	// are lost when all control hosts restart, until the servers announce themselves again.
+	// are lost when all control hosts restart, until the servers announce themselves again. Departures
+	// are in the replicated log.
 	ServerListStoreInterval = 2 * identifier.Second
-	// ShutdownStoreInterval replaces ServerListStoreInterval once a server has begun to shut down: it
-	// makes no further announcement that would correct an older list. Servers that shut down together
-	// share a write.
-	ShutdownStoreInterval = 50 * identifier.Millisecond
 	// GoneServerRetention is how long a backend server that has left or is silent stays in the
 	// list, so that late messages about it are recognized.
 	GoneServerRetention = 60 * identifier.Second
@@ -259,10 +256,8 @@
 	// count until it is synchronized.
 	restoredEntryHosts []router.Host
 	storedAt           identifier.Instant
-	// shutdownUnstored is set while the snapshot on disk lacks that a server shuts down.
-	shutdownUnstored bool
-	declaration      *declarer.Declaration
-	routes           *matcher.Matcher
+	declaration        *declarer.Declaration
+	routes             *matcher.Matcher
 	// assessor detects degraded servers from the measurements of this control host's subscribers,
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
@@ -416,17 +411,12 @@
 	hosts := s.allEntryHosts()
 	crashes := s.listCrashes()
 	changed := sl.revision != sl.storedRevision || len(hosts) != sl.storedEntryHosts || len(crashes) != sl.storedCrashes
-	interval := ServerListStoreInterval
-	if sl.shutdownUnstored {
-		interval = ShutdownStoreInterval
-	}
-	due := changed && s.control.synchronized && s.now.Since(sl.storedAt) >= interval
+	due := changed && s.control.synchronized && s.now.Since(sl.storedAt) >= ServerListStoreInterval
 	if (!due && source.Version == sl.storedVersion) || s.control.replication.log == nil {
 		return
 	}
 	sl.storedRevision, sl.storedVersion, sl.storedEntryHosts, sl.storedAt = sl.revision, source.Version, len(hosts), s.now
 	sl.storedCrashes = len(crashes)
-	sl.shutdownUnstored = false
 	s.emit(StoreServerList{Snapshot: ServerListSnapshot{
 		Servers: sl.changesSince(0), Source: source, Readers: hosts, Crashes: crashes,
 	}})
@@ -609,17 +599,15 @@
 		return
 	}
 	s.notifySubscribers()
-	if sl.servers[a.Server].shutdownStage() > 0 && !sl.shutdownUnstored {
-		sl.shutdownUnstored = true
-		s.schedule(max(s.now, sl.storedAt.Add(ShutdownStoreInterval)), shutdownStoreDue{})
-	}
 }
 
-// withdraw handles the shutdown of a server and notifies the other control hosts.
+// withdraw handles the shutdown of a server and notifies the other control hosts. A control host that
+// doesn't know the server declines: another one may know it.
 func (s *State) withdraw(e ServerWithdrawn) {
+	departure, known := s.departureOf(e.Server)
 	s.recordWithdrawal(e.Server)
 	s.sendToPeers(WithdrawalRelayed{Server: e.Server})
-	s.emit(GrantLease{Ticket: e.Ticket, Term: 0, Declined: !s.mayAcknowledge()})
+	s.acknowledgeDeparture(departure, GrantLease{Ticket: e.Ticket, Declined: !known || !s.mayAcknowledge()})
 }
 
 // recordWithdrawal removes the lease of a server that shuts down and lists it as left.
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -39,6 +39,9 @@
 	hosts map[identifier.HostID]*smallFleetHost
 	// isolated are the hosts that can reach no other host.
 	isolated map[identifier.HostID]bool
+	// frozen are the hosts that handle no event; deferred holds the events that wait until they thaw.
+	frozen   map[identifier.HostID]bool
+	deferred map[identifier.HostID][]reducer.Event
 	grants   map[reducer.Ticket]reducer.GrantLease
 	replies  map[reducer.Ticket]reducer.ReplyOperator
 	// outcomes holds the outcome of each client's request.
@@ -46,11 +49,16 @@
 	ticket   reducer.Ticket
 	// exchange simulates the backend servers; without it attempts get no answer.
 	exchange func(id identifier.HostID, e reducer.Exchange)
-	// onReceive, if set, is called with each event that a host receives.
+	// onReceive, if set, is called with each event that a host receives, and onEffect with each effect.
 	onReceive func(id identifier.HostID, e reducer.Event)
+	onEffect  func(id identifier.HostID, e reducer.Effect)
 }
 
-const hostLatency = 1 * identifier.Millisecond
+// hostLatency is the time of a message between hosts, and syncLatency that of a sync to disk.
+const (
+	hostLatency = 1 * identifier.Millisecond
+	syncLatency = 1 * identifier.Millisecond
+)
 
 // extraAttemptLimits limits the attempts of the entry hosts beyond first attempts.
 var extraAttemptLimits = reducer.ExtraAttempts{Share: 0.2, Slack: 60, Window: 10 * identifier.Second}
@@ -97,6 +105,7 @@
 func newSmallFleet() *smallFleet {
 	f := &smallFleet{
 		hosts: map[identifier.HostID]*smallFleetHost{}, isolated: map[identifier.HostID]bool{},
+		frozen: map[identifier.HostID]bool{}, deferred: map[identifier.HostID][]reducer.Event{},
 		grants: map[reducer.Ticket]reducer.GrantLease{}, replies: map[reducer.Ticket]reducer.ReplyOperator{},
 		outcomes: map[identifier.RequestID]reducer.RequestOutcome{},
 	}
@@ -157,6 +166,23 @@
 	f.run(300 * identifier.Millisecond)
 }
 
+// startEntries starts the entry hosts.
+func (f *smallFleet) startEntries() {
+	for i := range 3 {
+		f.start(entryName(i))
+	}
+}
+
+// thaw lets a frozen host handle the events that have waited.
+func (f *smallFleet) thaw(id identifier.HostID) {
+	f.frozen[id] = false
+	events := f.deferred[id]
+	f.deferred[id] = nil
+	for _, e := range events {
+		f.reduce(id, e)
+	}
+}
+
 func (f *smallFleet) schedule(instant identifier.Instant, action func()) {
 	f.order++
 	heap.Push(&f.queue, scheduledAction{at: instant, order: f.order, action: action})
@@ -177,11 +203,18 @@
 	if h == nil || !h.running {
 		return
 	}
+	if f.frozen[id] {
+		f.deferred[id] = append(f.deferred[id], event)
+		return
+	}
 	if f.onReceive != nil {
 		f.onReceive(id, event)
 	}
 	state := h.state
 	for _, effect := range slices.Clone(state.Reduce(f.now, event)) {
+		if f.onEffect != nil {
+			f.onEffect(id, effect)
+		}
 		switch e := effect.(type) {
 		case reducer.Wake:
 			f.schedule(e.At, func() {
@@ -192,14 +225,18 @@
 		case reducer.Send:
 			f.send(id, e)
 		case reducer.StoreRecords:
-			h.records = append(h.records, e.Records...)
-			f.schedule(f.now.Add(identifier.Millisecond), func() {
-				if h.state == state {
+			f.schedule(f.now.Add(syncLatency), func() {
+				if h.state == state && h.running {
+					h.records = append(h.records, e.Records...)
 					f.reduce(id, reducer.RecordsStored{Sequence: e.Sequence})
 				}
 			})
 		case reducer.StoreServerList:
-			h.serverList = e.Snapshot
+			f.schedule(f.now.Add(syncLatency), func() {
+				if h.state == state && h.running {
+					h.serverList = e.Snapshot
+				}
+			})
 		case reducer.Exchange:
 			if f.exchange != nil {
 				f.exchange(id, e)
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -323,15 +323,15 @@
 	return true
 }
 
-// shutdownStage orders the stages of a server's shutdown: running, draining, left.
-func (l *ListedServer) shutdownStage() int {
+// shutdownStage returns how far the server's shutdown has got.
+func (l *ListedServer) shutdownStage() ShutdownStage {
 	switch {
 	case l.Standing == Left:
-		return 2
+		return Departed
 	case l.Announcement.State == leaser.Draining:
-		return 1
+		return Finishing
 	}
-	return 0
+	return Operating
 }
 
 // applySource puts a declaration in force on this entry host if it is newer than the current one.
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -52,8 +52,6 @@
 	estimateDue struct{}
 	// serverListDue requests the changes of the server list from control hosts.
 	serverListDue struct{}
-	// shutdownStoreDue stores the server list after a server has begun to shut down.
-	shutdownStoreDue struct{}
 	// measurementDue makes traffic send its measurements of the servers to control hosts.
 	measurementDue struct{}
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
@@ -64,23 +62,22 @@
 	}
 )
 
-func (heartbeatDue) isTimer()     {}
-func (expiryDue) isTimer()        {}
-func (queryDue) isTimer()         {}
-func (hedgeDue) isTimer()         {}
-func (retryDue) isTimer()         {}
-func (permitDue) isTimer()        {}
-func (crashRepeatDue) isTimer()   {}
-func (queueCheckDue) isTimer()    {}
-func (estimateDue) isTimer()      {}
-func (startupDue) isTimer()       {}
-func (pullDue) isTimer()          {}
-func (operationDue) isTimer()     {}
-func (replicationDue) isTimer()   {}
-func (serverListDue) isTimer()    {}
-func (shutdownStoreDue) isTimer() {}
-func (measurementDue) isTimer()   {}
-func (requestDue) isTimer()       {}
+func (heartbeatDue) isTimer()   {}
+func (expiryDue) isTimer()      {}
+func (queryDue) isTimer()       {}
+func (hedgeDue) isTimer()       {}
+func (retryDue) isTimer()       {}
+func (permitDue) isTimer()      {}
+func (crashRepeatDue) isTimer() {}
+func (queueCheckDue) isTimer()  {}
+func (estimateDue) isTimer()    {}
+func (startupDue) isTimer()     {}
+func (pullDue) isTimer()        {}
+func (operationDue) isTimer()   {}
+func (replicationDue) isTimer() {}
+func (serverListDue) isTimer()  {}
+func (measurementDue) isTimer() {}
+func (requestDue) isTimer()     {}
 
 type scheduledTimer struct {
 	at       identifier.Instant
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -60,5 +60,6 @@
 		ConfigurationDeclared{},
 		DeclarationRead{},
 		DeclarationFound{},
+		ServersDeparted{},
 	}
 }
