pkg/reducer: let no other program's announcement end a running server

Cause: the later start won an address at once, and the server that had it was listed as left, so that superseded dropped all its later announcements. Ruled out: the unknown service as the only way there. Known services, draining announcements and announcements under the server's own ID do the same.

Change: all servers that announce themselves at an address are listed. One that misses two announcements while another announces itself there is displaced until it announces itself again. Announcements that contradict the service, address or domain of a listed incarnation, or that name an undeclared service where a declared one is listed, are declined. Departures are kept by server and service. An entry host applies a declaration before the servers that come with it.

One test expected a server that had announced itself 50 ms before to vanish when another one names its address, which is this fault. It now expects that 2 s after the last announcement, the least time before an address is used again; "an address that goes to another server" bounds the other cases.

--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -65,7 +65,7 @@
 	before := sl.revision
 	for _, m := range e.Servers {
 		server, ok := sl.servers[m.Server]
-		if !ok || server.Standing == Left {
+		if !ok || server.Standing == Left || server.Standing == Displaced {
 			continue
 		}
 		degraded, changed := sl.assessor.Add(s.now, m.Server, m.Tally)
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -57,7 +57,7 @@
 	Ledger   deduplicator.Snapshot[Outcome] `msgpack:"l"`
 	// Source is the declaration in force; its version is 0 if there is none.
 	Source declarer.Source `msgpack:"d"`
-	// Departures are the recent departures of backend servers, in order of server.
+	// Departures are the recent departures of backend servers, in order of server and service.
 	Departures []RecordedDeparture `msgpack:"p"`
 }
 
--- a/pkg/reducer/departure.go
+++ b/pkg/reducer/departure.go
@@ -35,11 +35,17 @@
 // Departure is the announced shutdown of one incarnation of a backend server.
 type Departure struct {
 	Server      identifier.ServerID    `msgpack:"s"`
+	Service     identifier.ServiceID   `msgpack:"c"`
 	Incarnation identifier.Incarnation `msgpack:"i"`
 	Stage       ShutdownStage          `msgpack:"t"`
 }
 
-// supersedes reports whether the departure replaces the other one of the same server.
+// departureOf returns the departure of the incarnation of a server that made the announcement.
+func departureOf(a leaser.Announcement, stage ShutdownStage) Departure {
+	return Departure{Server: a.Server, Service: a.Service, Incarnation: a.Incarnation, Stage: stage}
+}
+
+// supersedes reports whether the departure replaces the other one of the same member.
 func (d Departure) supersedes(other Departure) bool {
 	if d.Incarnation != other.Incarnation {
 		return d.Incarnation > other.Incarnation
@@ -60,34 +66,42 @@
 	At        identifier.Instant `msgpack:"a"`
 }
 
-// departures holds the last departure of each backend server.
-type departures map[identifier.ServerID]RecordedDeparture
+// member identifies a server of a service. Another program may announce another service under the ID of a
+// server, which must not hide that server's departure.
+type member struct {
+	server  identifier.ServerID
+	service identifier.ServiceID
+}
+
+func (d Departure) member() member { return member{d.Server, d.Service} }
+
+// departures holds the last departure of each member.
+type departures map[member]RecordedDeparture
 
 // record adds departures that were proposed at the instant, and removes those that are older than
 // DepartureRetention then.
 func (d departures) record(at identifier.Instant, list []Departure) {
 	for _, x := range list {
-		if known, ok := d[x.Server]; ok && !x.supersedes(known.Departure) {
-			continue
+		if !d.includes(x) {
+			d[x.member()] = RecordedDeparture{Departure: x, At: at}
 		}
-		d[x.Server] = RecordedDeparture{Departure: x, At: at}
 	}
-	for id, x := range d {
+	for m, x := range d {
 		if at.Since(x.At) > DepartureRetention {
-			delete(d, id)
+			delete(d, m)
 		}
 	}
 }
 
 // includes reports whether the departure, or one that supersedes it, is recorded.
 func (d departures) includes(x Departure) bool {
-	known, ok := d[x.Server]
+	known, ok := d[x.member()]
 	return ok && !x.supersedes(known.Departure)
 }
 
 // stage returns the recorded stage of an incarnation of a server.
 func (d departures) stage(now identifier.Instant, a leaser.Announcement) ShutdownStage {
-	known, ok := d[a.Server]
+	known, ok := d[member{a.Server, a.Service}]
 	if !ok || a.Incarnation > known.Departure.Incarnation || now.Since(known.At) > DepartureRetention {
 		return Operating
 	}
@@ -97,20 +111,22 @@
 	return known.Departure.Stage
 }
 
-// snapshot returns the departures in order of server.
+// snapshot returns the departures in order of server and service.
 func (d departures) snapshot() []RecordedDeparture {
 	list := make([]RecordedDeparture, 0, len(d))
 	for _, x := range d {
 		list = append(list, x)
 	}
-	slices.SortFunc(list, func(a, b RecordedDeparture) int { return cmp.Compare(a.Departure.Server, b.Departure.Server) })
+	slices.SortFunc(list, func(a, b RecordedDeparture) int {
+		return cmp.Or(cmp.Compare(a.Departure.Server, b.Departure.Server), cmp.Compare(a.Departure.Service, b.Departure.Service))
+	})
 	return list
 }
 
 func restoreDepartures(list []RecordedDeparture) departures {
 	d := departures{}
 	for _, x := range list {
-		d[x.Departure.Server] = x
+		d[x.Departure.member()] = x
 	}
 	return d
 }
@@ -133,13 +149,17 @@
 
 func (departureOrigin) isOrigin() {}
 
-// departureOf returns the departure of a server that withdraws, and whether this host knows the server.
-func (s *State) departureOf(id identifier.ServerID) (Departure, bool) {
+// withdrawalOf returns the departure of a server that withdraws, and whether this host knows the server.
+func (s *State) withdrawalOf(id identifier.ServerID) (Departure, bool) {
 	if known, ok := s.control.serverList.servers[id]; ok {
-		return Departure{Server: id, Incarnation: known.Announcement.Incarnation, Stage: Departed}, true
+		return departureOf(known.Announcement, Departed), true
+	}
+	for m, x := range s.control.replicated.departures {
+		if m.server == id && x.Departure.Stage == Departed {
+			return x.Departure, true
+		}
 	}
-	known, ok := s.control.replicated.departures[id]
-	return known.Departure, ok && known.Departure.Stage == Departed
+	return Departure{}, false
 }
 
 // acknowledgeDeparture answers a backend server that has announced its shutdown, once that is
@@ -209,7 +229,8 @@
 // listDeparture updates the server list to a departure, unless the server has started again since.
 func (s *State) listDeparture(d Departure) {
 	server, ok := s.control.serverList.servers[d.Server]
-	if !ok || server.Announcement.Incarnation > d.Incarnation || server.shutdownStage() >= d.Stage {
+	if !ok || server.Announcement.Service != d.Service || server.Announcement.Incarnation > d.Incarnation ||
+		server.shutdownStage() >= d.Stage {
 		return
 	}
 	if d.Stage == Departed {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -66,6 +66,7 @@
 	// The list of backend servers that control hosts keep for entry hosts.
 	serverList     serverList
 	departureQueue departureQueue
+	declared       declaredServices
 }
 
 type hostLease struct {
@@ -181,6 +182,13 @@
 // server.
 func (s *State) handleAnnouncement(e ServerAnnounced) {
 	grant := GrantLease{Ticket: e.Ticket, Term: s.leaseTerm(), Declined: !s.mayAcknowledge()}
+	if known, ok := s.control.serverList.servers[e.Announcement.Server]; ok && s.contradicts(e.Announcement, known) {
+		s.log(MembershipSubsystem, Warn, "announcement contradicts the listed server", Field{"server", string(e.Announcement.Server)},
+			Field{"service", string(e.Announcement.Service)}, Field{"address", string(e.Announcement.Address)})
+		grant.Declined = true
+		s.emit(grant)
+		return
+	}
 	if s.outdated(e.Announcement) {
 		s.log(MembershipSubsystem, Info, "late announcement ignored", Field{"server", string(e.Announcement.Server)})
 		s.answerAnnouncement(e.Announcement, grant)
@@ -201,13 +209,26 @@
 		s.emit(grant)
 		return
 	}
-	s.acknowledgeDeparture(Departure{Server: a.Server, Incarnation: a.Incarnation, Stage: Finishing}, grant)
+	s.acknowledgeDeparture(departureOf(a, Finishing), grant)
 }
 
-// outdated reports whether an announcement says less than this host knows: the server has left, or
-// another one has its address.
+// outdated reports whether an announcement says less than this host knows of the server, or contradicts it.
 func (s *State) outdated(a leaser.Announcement) bool {
-	return s.control.serverList.superseded(a) || s.control.replicated.departures.stage(s.now, a) == Departed
+	if s.control.replicated.departures.stage(s.now, a) == Departed {
+		return true
+	}
+	known, ok := s.control.serverList.servers[a.Server]
+	switch {
+	case ok && s.outranks(a.Service, known.Announcement.Service):
+		return false
+	case !ok || a.Incarnation > known.Announcement.Incarnation && known.Standing == Left:
+		return false
+	case a.Incarnation < known.Announcement.Incarnation || known.Standing == Left:
+		return true
+	case known.Standing == Displaced && !a.NewerThan(known.Announcement):
+		return true
+	}
+	return s.contradicts(a, known)
 }
 
 // recordAnnouncement renews a server's lease. It reports whether anything that affects routing has
@@ -219,13 +240,21 @@
 	if s.control.replicated.departures.stage(s.now, a) == Finishing {
 		a.State = leaser.Draining
 	}
+	if s.isLateAtAddress(a) {
+		s.updateListedServer(a, Displaced)
+		return false
+	}
+	if known, ok := s.control.serverList.servers[a.Server]; ok && !sameOrigin(a, known.Announcement) {
+		s.control.leases.Remove(a.Server)
+	}
 	changed := s.control.leases.Receive(at, a)
 	if changed {
+		var displaced []identifier.ServerID
 		if _, ok := s.parameters.Duty.(ControlDuty); ok {
-			s.updateListedServer(a, Present)
+			displaced = s.listAnnounced(a)
 		}
 		s.log(MembershipSubsystem, Debug, "backend server changed", Field{"server", string(a.Server)})
-		s.publish(a.Server)
+		s.publish(append(displaced, a.Server)...)
 	}
 	s.renewLease(a.Server)
 	return changed
@@ -303,6 +332,9 @@
 			s.updateListedServer(listed.Announcement, Silent)
 		}
 	}
+	if displaced := s.settleAddresses(); len(displaced) > 0 {
+		lapsed, changed = append(lapsed, displaced...), true
+	}
 	s.control.serverList.removeExpired(s.now)
 	for _, id := range sortedKeys(s.control.hostLeases) {
 		if s.control.hostLeases[id].expires <= s.now {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -20,7 +20,7 @@
 	ControlHosts []identifier.HostID
 	// Duty is the role of this host; nil means CombinedDuty.
 	Duty Duty
-	// Interpreter parses declarations; hosts with EntryDuty require it.
+	// Interpreter parses declarations; hosts with EntryDuty or ControlDuty require it.
 	Interpreter declarer.Interpreter
 	// Strict makes a violated invariant panic; tests set it.
 	Strict bool
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -73,8 +73,10 @@
 	Present ServerStatus = iota
 	// Silent servers have not announced themselves recently; they may still run.
 	Silent
-	// Left servers have announced their shutdown, or another server has their address.
+	// Left servers have announced their shutdown.
 	Left
+	// Displaced servers have missed announcements while another server announced itself at their address.
+	Displaced
 )
 
 // ServerListRevision counts the changes of one control host's server list.
@@ -207,8 +209,11 @@
 
 // serverList is the part of control that keeps the server list, or a copy of it on entry hosts.
 type serverList struct {
-	servers   map[identifier.ServerID]*ListedServer
-	addresses map[identifier.Address]identifier.ServerID
+	servers map[identifier.ServerID]*ListedServer
+	// addresses holds the servers at each address that have neither left nor been displaced, and contested
+	// the addresses with several of them.
+	addresses map[identifier.Address][]identifier.ServerID
+	contested map[identifier.Address]bool
 	revision  ServerListRevision
 	pollers   map[identifier.HostID]*poller
 	// peerSubscribers are the subscribers of the other control hosts.
@@ -272,7 +277,8 @@
 func newServerList(window identifier.Micros) serverList {
 	return serverList{
 		servers:               map[identifier.ServerID]*ListedServer{},
-		addresses:             map[identifier.Address]identifier.ServerID{},
+		addresses:             map[identifier.Address][]identifier.ServerID{},
+		contested:             map[identifier.Address]bool{},
 		pollers:               map[identifier.HostID]*poller{},
 		topologies:            map[identifier.HostID]TopologyDigest{},
 		peerSubscribers:       map[identifier.HostID][]router.Host{},
@@ -294,8 +300,8 @@
 		previous.Announcement = a
 		return false
 	}
-	if ok && previous.Announcement.Address != a.Address && sl.addresses[previous.Announcement.Address] == a.Server {
-		delete(sl.addresses, previous.Announcement.Address)
+	if ok {
+		sl.vacate(previous.Announcement.Address, a.Server)
 	}
 	sl.revision++
 	listed := &ListedServer{Announcement: a, Standing: status, Revision: sl.revision, changed: now}
@@ -305,31 +311,12 @@
 		sl.assessor.Remove(a.Server)
 	}
 	sl.servers[a.Server] = listed
-	if status != Left {
-		sl.addresses[a.Address] = a.Server
+	if status != Left && status != Displaced {
+		sl.occupy(a.Address, a.Server)
 	}
 	return true
 }
 
-// superseded reports whether an announcement is outdated: it is from a server that has left, or
-// from one whose address belongs to a server that started later.
-func (sl *serverList) superseded(a leaser.Announcement) bool {
-	if known, ok := sl.servers[a.Server]; ok && known.Standing == Left && a.Incarnation <= known.Announcement.Incarnation {
-		return true
-	}
-	holder, ok := sl.servers[sl.addresses[a.Address]]
-	return ok && holder.Announcement.Server != a.Server && holder.Standing != Left &&
-		holder.Announcement.Incarnation > a.Incarnation
-}
-
-// markPreviousLeft marks the server that had the announcement's address before as left.
-func (sl *serverList) markPreviousLeft(now identifier.Instant, a leaser.Announcement) {
-	holder, ok := sl.servers[sl.addresses[a.Address]]
-	if ok && holder.Announcement.Server != a.Server && holder.Standing != Left {
-		sl.update(now, holder.Announcement, Left)
-	}
-}
-
 // changesSince returns the servers that have changed after the revision, in order of revision.
 func (sl *serverList) changesSince(revision ServerListRevision) []ListedServer {
 	var changed []ListedServer
@@ -348,9 +335,7 @@
 		if l.Standing != Present && now.Since(l.changed) > GoneServerRetention {
 			delete(sl.servers, id)
 			sl.assessor.Remove(id)
-			if sl.addresses[l.Announcement.Address] == id {
-				delete(sl.addresses, l.Announcement.Address)
-			}
+			sl.vacate(l.Announcement.Address, id)
 		}
 	}
 }
@@ -591,20 +576,25 @@
 // updateListedServer records a server's latest announcement in the list and notifies subscribers
 // of a change.
 func (s *State) updateListedServer(a leaser.Announcement, status ServerStatus) {
-	sl := &s.control.serverList
-	before := sl.revision
-	sl.markPreviousLeft(s.now, a)
-	sl.update(s.now, a, status)
-	if sl.revision == before {
-		return
+	if s.control.serverList.update(s.now, a, status) {
+		s.notifySubscribers()
+	}
+}
+
+// listAnnounced lists a server that has announced itself, and returns the servers that it displaces.
+func (s *State) listAnnounced(a leaser.Announcement) []identifier.ServerID {
+	changed := s.control.serverList.update(s.now, a, Present)
+	displaced := s.settleAddress(a.Address)
+	if changed || len(displaced) > 0 {
+		s.notifySubscribers()
 	}
-	s.notifySubscribers()
+	return displaced
 }
 
 // withdraw handles the shutdown of a server and notifies the other control hosts. A control host that
 // doesn't know the server declines: another one may know it.
 func (s *State) withdraw(e ServerWithdrawn) {
-	departure, known := s.departureOf(e.Server)
+	departure, known := s.withdrawalOf(e.Server)
 	s.recordWithdrawal(e.Server)
 	s.sendToPeers(WithdrawalRelayed{Server: e.Server})
 	s.acknowledgeDeparture(departure, GrantLease{Ticket: e.Ticket, Declined: !known || !s.mayAcknowledge()})
@@ -656,7 +646,7 @@
 		return
 	}
 	for _, l := range e.Servers {
-		if l.Standing == Present && !s.control.serverList.superseded(l.Announcement) {
+		if l.Standing == Present && !s.outdated(l.Announcement) {
 			s.recordAnnouncement(s.now, l.Announcement)
 			s.restoreStatement(l)
 			continue
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -364,6 +364,7 @@
 		}, present},
 		{"omits a server whose address another server uses", func(f *smallFleet) {
 			f.announce(0, announcement("s-1", 1, 1))
+			f.run(2 * identifier.Second)
 			later := announcement("t-1", 2, 1)
 			f.announce(1, later)
 		}, map[identifier.ServerID]bool{"t-1": false}},
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -188,11 +188,10 @@
 		delete(sl.positions, e.From)
 		return
 	}
-	changed := s.mergeServers(e)
+	// Which servers are merged depends on the declaration.
+	changed := e.Source != nil && s.applySource(*e.Source)
+	changed = s.mergeServers(e) || changed
 	sl.positions[e.From] = e.Position
-	if e.Source != nil {
-		changed = s.applySource(*e.Source) || changed
-	}
 	changed = s.subscribe(e) || changed
 	if sl.subscribedTo == e.From {
 		s.emit(Send{To: s.parameters.Host, Event: LendingUpdated{Lending: e.Lending}})
@@ -300,7 +299,8 @@
 func (s *State) mergeServer(l ListedServer) bool {
 	sl := &s.control.serverList
 	known, ok := sl.servers[l.Announcement.Server]
-	if !ok || l.Announcement.Incarnation > known.Announcement.Incarnation {
+	if !ok || l.Announcement.Incarnation > known.Announcement.Incarnation ||
+		s.outranks(l.Announcement.Service, known.Announcement.Service) {
 		return sl.update(s.now, l.Announcement, l.Standing)
 	}
 	if l.Announcement.Incarnation < known.Announcement.Incarnation || l.shutdownStage() < known.shutdownStage() {
@@ -382,7 +382,7 @@
 	}
 	for _, id := range sortedKeys(sl.servers) {
 		l := sl.servers[id]
-		if l.Standing == Left || l.Announcement.State == leaser.Draining {
+		if l.Standing == Left || l.Standing == Displaced || l.Announcement.State == leaser.Draining {
 			continue
 		}
 		a := l.Announcement
