pkg/reducer: keep what a starting control host knows of leaves

Change: both merges use the same question, holdsNewer. An entry of a silent or displaced server doesn't replace a present one.

--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -429,6 +429,12 @@
 	}
 }
 
+// isPresent reports whether a server is listed as present.
+func (s *State) isPresent(id identifier.ServerID) bool {
+	known, ok := s.control.serverList.servers[id]
+	return ok && known.Standing == Present
+}
+
 // restoreStatement copies what a server says of itself from another list.
 func (s *State) restoreStatement(l ListedServer) {
 	known, ok := s.control.serverList.servers[l.Announcement.Server]
@@ -646,12 +652,18 @@
 		return
 	}
 	for _, l := range e.Servers {
-		if l.Standing == Present && !s.outdated(l.Announcement) {
+		switch {
+		case s.holdsNewer(l):
+		case l.Standing == Present:
 			s.recordAnnouncement(s.now, l.Announcement)
 			s.restoreStatement(l)
-			continue
+			if l.shutdownStage() == Finishing {
+				// Its sequence may be older than that of the announcement held.
+				s.listDeparture(departureOf(l.Announcement, Finishing))
+			}
+		case l.Standing == Left || !s.isPresent(l.Announcement.Server):
+			s.control.serverList.update(s.now, l.Announcement, l.Standing)
 		}
-		s.control.serverList.update(s.now, l.Announcement, l.Standing)
 	}
 	s.control.synchronized = e.Synchronized
 }
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -667,7 +667,37 @@
 		{"do not restore it when the other control host does not know that it is draining", listed(reducer.Present, leaser.Draining, 2, 1), present, false},
 		{"do not remove it when an earlier incarnation has left", present, listed(reducer.Left, leaser.Serving, 1, 99), true},
 		{"restore it with a later incarnation", listed(reducer.Left, leaser.Serving, 1, 99), present, true},
+		{"do not remove it when one has not heard of it for a while", present, listed(reducer.Silent, leaser.Serving, 2, 1), true},
 	} {
+		// A control host that has just started merges the lists of the others. It must not bring back a
+		// server that has left, nor end one that has started again.
+		ginkgo.It(c.name+", on a control host", func() {
+			f := newSmallFleet()
+			f.declare(0, declarationSource(1, "desk"))
+			f.stop(controlName(0), true)
+			f.isolated[controlName(0)] = true
+			f.start(controlName(0))
+			for i, l := range []reducer.ListedServer{c.first, c.second} {
+				f.reduce(controlName(0), reducer.ServerListSent{
+					From: controlName(i + 1), Position: reducer.ServerListPosition{Started: 1, Revision: 1}, Complete: true,
+					InTouch: true, Servers: []reducer.ListedServer{l},
+				})
+			}
+			used := false
+			f.onEffect = func(_ identifier.HostID, effect reducer.Effect) {
+				sent, ok := effect.(reducer.Send)
+				if !ok {
+					return
+				}
+				if list, ok := sent.Event.(reducer.ServerListSent); ok && len(list.Servers) == 1 {
+					s := list.Servers[0]
+					used = s.Standing != reducer.Left && s.Announcement.State != leaser.Draining
+				}
+			}
+			f.reduce(controlName(0), reducer.ServerListRequested{Host: entryName(0), Domain: domain(0)})
+			gomega.Expect(used).To(gomega.Equal(c.used))
+		})
+
 		ginkgo.It(c.name, func() {
 			f := newSmallFleet()
 			f.declare(0, declarationSource(1, "desk"))
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -292,21 +292,22 @@
 	return changed
 }
 
-// mergeServer records one server unless this host holds newer information. Within an incarnation
-// of the server, draining and leaving are final. Sequence numbers are not compared, since each
-// control host records that of the last change that it received itself. It reports whether
-// anything has changed.
+// mergeServer records one server unless this host holds newer information. It reports whether anything
+// has changed.
 func (s *State) mergeServer(l ListedServer) bool {
-	sl := &s.control.serverList
-	known, ok := sl.servers[l.Announcement.Server]
+	return !s.holdsNewer(l) && s.control.serverList.update(s.now, l.Announcement, l.Standing)
+}
+
+// holdsNewer reports whether this host knows more of a server than another host's list says. Within an
+// incarnation of the server, draining and leaving are final. Sequence numbers are not compared, since
+// each control host records that of the last change that it received itself.
+func (s *State) holdsNewer(l ListedServer) bool {
+	known, ok := s.control.serverList.servers[l.Announcement.Server]
 	if !ok || l.Announcement.Incarnation > known.Announcement.Incarnation ||
 		s.outranks(l.Announcement.Service, known.Announcement.Service) {
-		return sl.update(s.now, l.Announcement, l.Standing)
-	}
-	if l.Announcement.Incarnation < known.Announcement.Incarnation || l.shutdownStage() < known.shutdownStage() {
 		return false
 	}
-	return sl.update(s.now, l.Announcement, l.Standing)
+	return l.Announcement.Incarnation < known.Announcement.Incarnation || l.shutdownStage() < known.shutdownStage()
 }
 
 // updateReported records what hosts report of a server: whether it is degraded, and what it says of
