pkg/reducer: end only the delegation that was never sent

Cause: the report of an undeliverable PartsRequested didn't name the host, so handleParts ended the first open delegation of the request as never sent and sent its pieces again while that host gathered them.

Change: Undeliverable takes the host that the event was for, and a delegation ends only by a report from or about its host. The test with one unreachable delegate names it as well.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -145,21 +145,21 @@
 	queue, ok := m.peerQueue(to)
 	if !ok {
 		m.logger.Warn("unknown peer; event not sent", "peer", to)
-		m.reportUndeliverable(event)
+		m.reportUndeliverable(to, event)
 		return
 	}
 	select {
 	case queue <- event:
 	default:
 		m.logger.Warn("send queue of peer is full; event not sent", "peer", to)
-		m.reportUndeliverable(event)
+		m.reportUndeliverable(to, event)
 	}
 }
 
 // reportUndeliverable delivers the event that reports the given event as never sent, if
 // there is one for its type.
-func (m *Messenger) reportUndeliverable(event reducer.Event) {
-	if report, ok := reducer.Undeliverable(event); ok {
+func (m *Messenger) reportUndeliverable(to identifier.HostID, event reducer.Event) {
+	if report, ok := reducer.Undeliverable(to, event); ok {
 		m.deliver(report)
 	}
 }
@@ -220,9 +220,9 @@
 	for m.context.Err() == nil {
 		c, err := m.dial(address)
 		if err != nil {
-			m.rejectQueued(queue)
+			m.rejectQueued(id, queue)
 			if m.removeUnreachable(id, lastReached) {
-				m.rejectQueued(queue)
+				m.rejectQueued(id, queue)
 				return
 			}
 			continue
@@ -248,13 +248,13 @@
 
 // rejectQueued reports the events queued for an unreachable peer as undeliverable, until it
 // is time to redial.
-func (m *Messenger) rejectQueued(queue chan reducer.Event) {
+func (m *Messenger) rejectQueued(to identifier.HostID, queue chan reducer.Event) {
 	redial := time.NewTimer(redialDelay)
 	defer redial.Stop()
 	for {
 		select {
 		case event := <-queue:
-			m.reportUndeliverable(event)
+			m.reportUndeliverable(to, event)
 		case <-redial.C:
 			return
 		case <-m.context.Done():
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -264,7 +264,7 @@
 	if !ok {
 		return
 	}
-	i := slices.IndexFunc(q.delegations, func(d *delegation) bool { return d.open && (e.Unsent || d.host == e.From) })
+	i := slices.IndexFunc(q.delegations, func(d *delegation) bool { return d.open && d.host == e.From })
 	if i < 0 {
 		return
 	}
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -365,13 +365,13 @@
 func (e CallLost) Key() identifier.ServerID { return e.Server }
 
 // Undeliverable returns the event that reports to the sender that an event could not be
-// sent to another host. It returns false if the sender needs no report.
-func Undeliverable(event Event) (Event, bool) {
+// sent to the other host. It returns false if the sender needs no report.
+func Undeliverable(to identifier.HostID, event Event) (Event, bool) {
 	switch e := event.(type) {
 	case AttemptSubmitted:
 		return AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: RefusedUnreachable}, true
 	case PartsRequested:
-		return PartsDelivered{Request: e.Request, Unsent: true, Ended: true}, true
+		return PartsDelivered{From: to, Request: e.Request, Unsent: true, Ended: true}, true
 	}
 	return nil, false
 }
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -493,7 +494,7 @@
 			}
 		}, shardCount, 0},
 		{"are requested directly when the delegate was never reached", func(e *entryHost) {
-			e.reduce(reducer.PartsDelivered{Request: "q", Unsent: true, Ended: true})
+			e.reduce(reducer.PartsDelivered{From: "10.0.1.1:70", Request: "q", Unsent: true, Ended: true})
 			for i := range 8 {
 				e.answer(shardCount + i)
 			}
@@ -553,6 +554,40 @@
 		})
 	}
 
+	// A delegate that can't be reached must not end the delegation to another one, which still runs the request.
+	for _, c := range []struct {
+		name string
+		// unreachable is the failure domain of the delegate that can't be reached.
+		unreachable int
+	}{
+		{"of the first domain", 1},
+		{"of the second domain", 2},
+	} {
+		ginkgo.It("are requested directly only from servers of the delegate that was never reached, "+c.name, func() {
+			v := remoteFleetView()
+			for i := range 4 {
+				v.Backends[identifier.ServiceID(fmt.Sprintf("far-%d", i))][0].Domain = domain(2)
+			}
+			v.Delegates = append(v.Delegates, router.Host{ID: "10.0.2.1:70", Domain: domain(2)})
+			e := newEntryHost(v)
+			e.sendRequest("q", "/search/1")
+			gomega.Expect(e.messages).To(gomega.HaveLen(2))
+			for _, m := range e.messages {
+				if m.To != identifier.HostID(fmt.Sprintf("10.0.%d.1:70", c.unreachable)) {
+					continue
+				}
+				report, ok := reducer.Undeliverable(m.To, m.Event)
+				gomega.Expect(ok).To(gomega.BeTrue())
+				e.reduce(report)
+			}
+			gomega.Expect(e.sent).To(gomega.HaveLen(shardCount + 4))
+			for _, x := range e.sent[shardCount:] {
+				service := identifier.ServiceID(strings.TrimSuffix(string(x.Server), "-1"))
+				gomega.Expect(v.Backends[service][0].Domain).To(gomega.Equal(domain(c.unreachable)))
+			}
+		})
+	}
+
 	ginkgo.It("are cancelled when the client disconnects", func() {
 		e := newEntryHost(remoteFleetView())
 		e.sendRequest("q", "/search/1")
--- a/pkg/reducer/simulation_test.go
+++ b/pkg/reducer/simulation_test.go
@@ -357,7 +357,7 @@
 			return
 		}
 		if to.state == nil {
-			if event, ok := reducer.Undeliverable(e.Event); ok {
+			if event, ok := reducer.Undeliverable(e.To, e.Event); ok {
 				s.after(1, func() { s.reduce(from, event) })
 			}
 			return
--- a/pkg/reducer/slot_random_test.go
+++ b/pkg/reducer/slot_random_test.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if f.disconnected && from.Domain != to.Domain {
-		if answer, ok := reducer.Undeliverable(e); ok {
+		if answer, ok := reducer.Undeliverable(to.Host, e); ok {
 			f.after(0, func() { f.deliver(from, answer) })
 		}
 		return
