pkg/reducer, platform: pass no failure on that claims a success

Cause: the adapter knew that such an answer is no success, but outcome passed it on as the piece's failure with its status, a 2xx. On the same path 408, 429 and 503 without the header that says that the request did not run were passed on, though to clients they are that proof.

Change: ServerAnswer.Misleading marks such failures; requests that end with one are declined as possibly run (502, or 504 at the end of their time).

--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -235,8 +235,8 @@
 	if q.sufficient() {
 		return q.answer()
 	}
-	if len(q.route.Shards) == 0 && q.pieces[0].failure != nil {
-		return Relayed{Answer: *q.pieces[0].failure}
+	if failure := q.pieces[0].failure; len(q.route.Shards) == 0 && failure != nil && !failure.Misleading {
+		return Relayed{Answer: *failure}
 	}
 	if from := q.acceptedFrom(); from > 0 && !q.mayHaveRun() {
 		return s.unavailable(q, from)
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -110,6 +110,9 @@
 type ServerAnswer struct {
 	// Success is set when the server served the request, rather than reporting a failure.
 	Success bool
+	// Misleading is set on a failure whose status would tell the client that the request was served, or
+	// that it did not run. It is not passed on.
+	Misleading bool
 	// Signature proves that the server produced the answer; empty if the server sent none.
 	Signature string
 	Body      []byte
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -159,6 +159,12 @@
 	e.reduce(reducer.ExchangeAnswered{Attempt: x.Attempt, Server: x.Server, Answer: reducer.ServerAnswer{Signature: "bad"}})
 }
 
+// mislead completes the exchange at the index with a failure whose status claims a success.
+func (e *entryHost) mislead(index int) {
+	x := e.sent[index]
+	e.reduce(reducer.ExchangeAnswered{Attempt: x.Attempt, Server: x.Server, Answer: reducer.ServerAnswer{Misleading: true}})
+}
+
 func (e *entryHost) lose(index int) {
 	x := e.sent[index]
 	e.reduce(reducer.ExchangeLost{Attempt: x.Attempt, Server: x.Server, Reason: "reset"})
@@ -293,6 +299,19 @@
 			e.answer(1)
 		}, 2, relayed(true)},
 		{"that must not be repeated ends with its server's failure", "/post/1", func(e *entryHost) { e.fail(0) }, 1, relayed(false)},
+		// A client must not take a server's failure for a success, or for proof that the request did not run.
+		{
+			"that must not be repeated doesn't get a misleading failure", "/post/1", func(e *entryHost) { e.mislead(0) }, 1,
+			declined(reducer.ServersFailed, reducer.RanMaybe),
+		},
+		{"doesn't get a misleading failure when all servers fail", "/archive/1", func(e *entryHost) {
+			e.mislead(0)
+			e.mislead(1)
+		}, 2, declined(reducer.ServersFailed, reducer.RanMaybe)},
+		{"is retried on another server after a misleading failure", "/archive/1", func(e *entryHost) {
+			e.mislead(0)
+			e.answer(1)
+		}, 2, relayed(true)},
 		{
 			"ends before its timeout", "/post/1", func(e *entryHost) { e.advance(archiveTimeout) }, 1,
 			declined(reducer.RequestTimedOut, reducer.RanMaybe),
