internal/exchanger: read a response that arrived before its write failed

Cause: when a server answers early and closes, the write of the request fails; write closed the socket before readLoop had read the response.

Change: after a failed write the connection is read for 100 ms at most and not used again.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -59,6 +59,9 @@
 	// writeWaitLimit limits the wait, after a response, until the rest of the request has been
 	// written. After that the connection is closed.
 	writeWaitLimit = time.Second
+	// failedWriteReadLimit is how long a response is awaited after the write of its request has failed. A
+	// response from before the failure has arrived already.
+	failedWriteReadLimit = 100 * time.Millisecond
 	// rememberedRequests is the number of client requests that a connection remembers having
 	// carried. A server's slots bound what it answers while a request may still be retried.
 	rememberedRequests = 16
@@ -121,8 +124,10 @@
 type attempt struct {
 	exchange   reducer.Exchange
 	connection *connection
-	// written is closed when the request has been written or the write has failed.
-	written chan struct{}
+	// written is closed when the request has been written or the write has failed, which sets
+	// writeFailed before.
+	written     chan struct{}
+	writeFailed bool
 	// cancelled is set by Cancel, when the response is no longer needed.
 	cancelled bool
 	// graceTimer closes the connection of a cancelled attempt.
@@ -300,8 +305,9 @@
 	return nil
 }
 
-// write writes an attempt's request. If it fails, it closes the connection, and readLoop
-// reports the attempt as lost: part of the request may have reached the server.
+// write writes an attempt's request. If it fails, the server may have responded before it closed the
+// connection: readLoop reads what has arrived, and reports the attempt as lost if that is no response.
+// Part of the request may have reached the server.
 func (x *Exchanger) write(c *connection, a *attempt) {
 	defer close(a.written)
 	remaining := a.exchange.Deadline.Since(x.now())
@@ -315,7 +321,10 @@
 	}
 	if err != nil {
 		x.logger.Debug("failed to write the request", "server", a.exchange.Server, "error", err)
-		c.socket.Close()
+		a.writeFailed = true
+		if err := c.socket.SetReadDeadline(time.Now().Add(failedWriteReadLimit)); err != nil {
+			c.socket.Close()
+		}
 	}
 }
 
@@ -484,19 +493,19 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// waitWritten waits for the request to be written and reports false after writeWaitLimit. A
-// server may respond before it has read the whole request.
+// waitWritten waits for the request to be written and reports false if that fails or takes longer than
+// writeWaitLimit. A server may respond before it has read the whole request.
 func (a *attempt) waitWritten() bool {
 	select {
 	case <-a.written:
-		return true
+		return !a.writeFailed
 	default:
 	}
 	timer := time.NewTimer(writeWaitLimit)
 	defer timer.Stop()
 	select {
 	case <-a.written:
-		return true
+		return !a.writeFailed
 	case <-timer.C:
 		return false
 	}
