pkg/reducer: wait for the local control host before a remote one's list

Cause: the new leader is in touch with its quorum some milliseconds before the others, and entry hosts subscribe to the first control host in touch.

Change: while a control host of the local domain answers, an entry host waits LocalPreference, two of its polls, before it requests a remote list.

--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -39,6 +39,9 @@
 	// in its local failure domain, if it knows any: if they run, they answer within a millisecond,
 	// and lists from remote domains use bandwidth there. With PollTimeout it stays within 1.5 s.
 	LocalWaitLimit = 300 * identifier.Millisecond
+	// LocalPreference is how long an entry host that may subscribe to a remote control host waits for a local
+	// one that has answered as recently: two of its polls.
+	LocalPreference = 2 * UnsubscribedInterval
 	// ListRequestTimeout is how long an entry host waits for a whole list that it has requested before
 	// it requests one again: the time to send hundreds of servers over a slow link.
 	ListRequestTimeout = 300 * identifier.Millisecond
@@ -237,6 +240,9 @@
 	subscribedTo identifier.HostID
 	lastReceived identifier.Instant
 	searchStart  identifier.Instant
+	// localReceived is when the last message from a control host in the local failure domain arrived, and
+	// remoteOffered when a remote one first could be subscribed to, in this search.
+	localReceived, remoteOffered identifier.Instant
 	// listRequested holds when this entry host last requested the whole list of a control host, until
 	// that arrives; remoteListRequested is the latest such request to a remote failure domain.
 	listRequested       map[identifier.HostID]identifier.Instant
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -95,6 +95,7 @@
 func (s *State) unsubscribe() {
 	s.control.serverList.subscribedTo = ""
 	s.control.serverList.searchStart = s.now
+	s.control.serverList.remoteOffered = 0
 }
 
 // requestLocalIfRemote asks the control hosts in the local failure domain while this host
@@ -150,13 +151,26 @@
 func (s *State) requestListOf(e ServerListSent) {
 	sl := &s.control.serverList
 	suitable := e.InTouch && (e.Synchronized || len(sl.servers) > 0)
-	if sl.subscribedTo != "" || !suitable || s.now.Since(sl.remoteListRequested) < ListRequestTimeout {
+	if sl.subscribedTo != "" || !suitable || s.now.Since(sl.remoteListRequested) < ListRequestTimeout || s.awaitsLocal(e.From) {
 		return
 	}
 	sl.remoteListRequested = s.now
 	s.sendListRequest(e.From, false)
 }
 
+// awaitsLocal reports whether this host, which may subscribe to the remote control host, still waits for a
+// local one that runs: after a restart all of them are in touch with their quorum within a round trip.
+func (s *State) awaitsLocal(remote identifier.HostID) bool {
+	sl := &s.control.serverList
+	if sl.controlHosts[remote].host.Domain == s.parameters.Domain || s.now.Since(sl.localReceived) > LocalPreference {
+		return false
+	}
+	if sl.remoteOffered == 0 {
+		sl.remoteOffered = s.now
+	}
+	return s.now.Since(sl.remoteOffered) < LocalPreference
+}
+
 func (s *State) sendListRequest(id identifier.HostID, brief bool) {
 	s.emit(Send{To: id, Event: ServerListRequested{
 		Host:       s.parameters.Host,
@@ -177,6 +191,9 @@
 		s.synchronizeServerList(e)
 		return
 	}
+	if sl.controlHosts[e.From].host.Domain == s.parameters.Domain {
+		sl.localReceived = s.now
+	}
 	if e.Brief {
 		s.requestListOf(e)
 		return
