pkg/reducer: grant withdrawals on hosts without the control duty

Found when reading the diff of: a host that keeps no server list declined each withdrawal, since it lists no server.

Measured: the new test fails before and passes now.

--- a/pkg/reducer/departure_test.go
+++ b/pkg/reducer/departure_test.go
@@ -239,6 +239,19 @@
 		}
 	})
 
+	ginkgo.It("is answered by a host that is no control host", func() {
+		p := newHostPair()
+		p.advance(identifier.Second)
+		p.announce(1, leaser.Serving)
+		var grants []reducer.GrantLease
+		for _, effect := range p.states["h-1"].Reduce(p.now, reducer.ServerWithdrawn{Ticket: 5, Server: "s-1"}) {
+			if g, ok := effect.(reducer.GrantLease); ok {
+				grants = append(grants, g)
+			}
+		}
+		gomega.Expect(grants).To(gomega.Equal([]reducer.GrantLease{{Ticket: 5}}))
+	})
+
 	ginkgo.It("is none on a control host that doesn't know the server", func() {
 		f := newSmallFleet()
 		f.declare(0, declarationSource(1, "desk"))
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -607,9 +607,10 @@
 // doesn't know the server declines: another one may know it.
 func (s *State) withdraw(e ServerWithdrawn) {
 	departure, known := s.withdrawalOf(e.Server)
+	_, control := s.parameters.Duty.(ControlDuty)
 	s.recordWithdrawal(e.Server)
 	s.sendToPeers(WithdrawalRelayed{Server: e.Server})
-	s.acknowledgeDeparture(departure, GrantLease{Ticket: e.Ticket, Declined: !known || !s.mayAcknowledge()})
+	s.acknowledgeDeparture(departure, GrantLease{Ticket: e.Ticket, Declined: (control && !known) || !s.mayAcknowledge()})
 }
 
 // recordWithdrawal removes the lease of a server that shuts down and lists it as left.
