--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -300,9 +300,10 @@
 	if !e.Complete || !e.InTouch || !e.Synchronized {
 		return changed
 	}
-	for id := range sl.servers {
+	for id, l := range sl.servers {
 		if !named[id] {
 			delete(sl.servers, id)
+			sl.vacate(l.Announcement.Address, id)
 			changed = true
 		}
 	}
