pkg/declarer, platform: customers with key digests, homes and warm-up rates in declarations

Cause: declarations of the two new deployments name customers with keys, quotas and homes, and services with warm-up rates. The adapter dropped all of them.

Nothing uses the new fields yet.

Result: go test ./pkg/declarer ./platform passes.

--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -1,5 +1,8 @@
 // Package declarer defines declarations. A declaration is a complete configuration: the
-// routes that requests match, the services that answer them and the limits on clients.
+// routes that requests match, the services that answer them, the customers that send them and
+// the limits on clients.
+//
+// A declaration holds the digests of the customers' keys, never the keys themselves.
 //
 // Each declaration replaces the previous one entirely. Versions only increase: a
 // declaration whose version is not above the current one is ignored.
@@ -13,6 +16,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -56,6 +60,10 @@
 	TopK int `msgpack:"k"`
 	// MinCoverage is the minimum fraction of the shards that an answer must cover.
 	MinCoverage identifier.Ratio `msgpack:"c"`
+	// Public means that requests need no key, even if the declaration has customers.
+	Public bool `msgpack:"u"`
+	// Homes are the regions that may see the requests; empty means all.
+	Homes []identifier.RegionID `msgpack:"e"`
 }
 
 // Services returns the services that the route refers to.
@@ -80,6 +88,10 @@
 	// Protocol and TLS define how to connect to the service's servers.
 	Protocol string `msgpack:"p"`
 	TLS      bool   `msgpack:"t"`
+	// WarmUp is how long a server stays cold after its start, and WarmUpRate how many requests a second a
+	// cold server takes from all entry hosts together; 0 means no limit.
+	WarmUp     identifier.Micros `msgpack:"w"`
+	WarmUpRate identifier.Rate   `msgpack:"r"`
 }
 
 // Limits are the limits on the size of client requests and on the time to send them.
@@ -96,33 +108,42 @@
 	Routes   []Route            `msgpack:"r"`
 	Services []Service          `msgpack:"s"`
 	Limits   Limits             `msgpack:"l"`
+	// Customers are those that may send requests, each with its keys. If there are none, requests need
+	// no key.
+	Customers []Customer `msgpack:"c"`
 }
 
 // InvalidError is returned for an invalid declaration.
 type InvalidError struct {
-	// Object is the id of the invalid route. It is empty if the error doesn't concern a single
-	// route.
+	// Object is the path of the invalid field, as in routes[2].timeout. It is empty if the error doesn't
+	// concern a single field.
 	Object string
+	// Name is the ID of the route, service or customer, if it has one.
+	Name   string
 	Reason string
 }
 
-// Error returns a message with the object, if any, and the reason.
+// Error returns a message with the field and the name, if any, and the reason.
 func (e *InvalidError) Error() string {
-	if e.Object == "" {
-		return "declaration: " + e.Reason
+	message := "declaration: "
+	if e.Object != "" {
+		message += e.Object + ": "
+	}
+	if e.Name != "" {
+		message += e.Name + ": "
 	}
-	return fmt.Sprintf("declaration: %s: %s", e.Object, e.Reason)
+	return message + e.Reason
 }
 
 // Check validates the declaration. It returns an *InvalidError for the first violation.
 func (d *Declaration) Check() error {
 	if d.Version == 0 {
-		return &InvalidError{Reason: "the version must be above 0"}
+		return &InvalidError{Object: "version", Reason: "the version must be above 0"}
 	}
 	services := map[identifier.ServiceID]bool{}
 	for i := range d.Services {
-		if d.Services[i].ID == "" {
-			return &InvalidError{Reason: "a service has no name"}
+		if err := d.Services[i].check(fmt.Sprintf("services[%d]", i)); err != nil {
+			return err
 		}
 		services[d.Services[i].ID] = true
 	}
@@ -130,30 +151,70 @@
 	seen := map[routeKey]bool{}
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		if err := r.check(services); err != nil {
+		object := fmt.Sprintf("routes[%d]", i)
+		if err := r.check(object, services); err != nil {
 			return err
 		}
 		key := routeKey{r.Hostname, r.PathPrefix}
 		if seen[key] {
-			return &InvalidError{Object: string(r.ID), Reason: "another route has the same hostname and path prefix"}
+			return &InvalidError{Object: object + ".path-prefix", Name: string(r.ID), Reason: "another route has the same hostname and path prefix"}
 		}
 		seen[key] = true
 	}
+	return d.checkCustomers()
+}
+
+// CheckHomes validates the homes of routes and customers. It returns an *InvalidError for the first
+// region that is not known.
+func (d *Declaration) CheckHomes(known []identifier.RegionID) error {
+	for i := range d.Routes {
+		if err := checkHomes(fmt.Sprintf("routes[%d]", i), string(d.Routes[i].ID), d.Routes[i].Homes, known); err != nil {
+			return err
+		}
+	}
+	for i := range d.Customers {
+		if err := checkHomes(fmt.Sprintf("customers[%d]", i), string(d.Customers[i].ID), d.Customers[i].Homes, known); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkHomes(object, name string, homes, known []identifier.RegionID) error {
+	for i, home := range homes {
+		if !slices.Contains(known, home) {
+			return &InvalidError{Object: fmt.Sprintf("%s.homes[%d]", object, i), Name: name, Reason: fmt.Sprintf("region %q is unknown", home)}
+		}
+	}
 	return nil
 }
 
-func (r *Route) check(declared map[identifier.ServiceID]bool) error {
-	invalid := func(reason string) error { return &InvalidError{Object: string(r.ID), Reason: reason} }
+func (s *Service) check(object string) error {
+	switch {
+	case s.ID == "":
+		return &InvalidError{Object: object + ".id", Reason: "a service has no name"}
+	case s.WarmUp < 0:
+		return &InvalidError{Object: object + ".warm-up", Name: string(s.ID), Reason: "the warm-up is negative"}
+	case !isRate(float64(s.WarmUpRate)):
+		return &InvalidError{Object: object + ".warm-up-rate", Name: string(s.ID), Reason: "the rate is not a number of 0 or more"}
+	}
+	return nil
+}
+
+func (r *Route) check(object string, declared map[identifier.ServiceID]bool) error {
+	invalid := func(field, reason string) error {
+		return &InvalidError{Object: object + field, Name: string(r.ID), Reason: reason}
+	}
 	if r.Timeout <= 0 {
-		return invalid("the timeout must be above 0")
+		return invalid(".timeout", "the timeout must be above 0")
 	}
 	services := r.Services()
 	if len(services) == 0 {
-		return invalid("the route names no service")
+		return invalid("", "the route names no service")
 	}
 	for _, id := range services {
 		if !declared[id] {
-			return invalid(fmt.Sprintf("service %q is not declared", id))
+			return invalid("", fmt.Sprintf("service %q is not declared", id))
 		}
 	}
 	if len(r.Shards) > 0 {
@@ -162,12 +223,12 @@
 	var total Weight
 	for _, t := range r.Targets {
 		if t.Weight < 0 {
-			return invalid("a weight is negative")
+			return invalid(".targets", "a weight is negative")
 		}
 		total += t.Weight
 	}
 	if total <= 0 {
-		return invalid("the weights add up to 0")
+		return invalid(".targets", "the weights add up to 0")
 	}
 	return nil
 }
--- a/pkg/declarer/example_test.go
+++ b/pkg/declarer/example_test.go
@@ -17,5 +17,5 @@
 	fmt.Println(d.Check())
 	// Output:
 	// <nil>
-	// declaration: archive: the timeout must be above 0
+	// declaration: routes[0].timeout: archive: the timeout must be above 0
 }
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -11,6 +11,8 @@
 	HostID string
 	// DomainID identifies a failure domain.
 	DomainID string
+	// RegionID identifies a region, which holds several failure domains.
+	RegionID string
 	// CustomerID identifies a customer.
 	CustomerID string
 	// TemplateID identifies a template, which holds the parameters that its customers share.
