--- a/pkg/declarer/customer.go
+++ b/pkg/declarer/customer.go
@@ -23,9 +23,13 @@
 // that exist, since nobody can choose a digest.
 type KeyDigest [sha256.Size]byte
 
-// DigestKey returns the digest of a key.
-func DigestKey(key []byte) KeyDigest {
-	return sha256.Sum256(key)
+// DigestKey returns the digest of a key. It doesn't allocate memory for a key of up to MaxKeyLength.
+func DigestKey(key string) KeyDigest {
+	if len(key) > MaxKeyLength {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [MaxKeyLength]byte
+	return sha256.Sum256(buffer[:copy(buffer[:], key)])
 }
 
 // String returns the first digits of the digest, which tell keys apart in messages.
@@ -93,7 +97,7 @@
 	case !isRate(c.Burst):
 		return invalid(".burst", "the burst is not a number of 0 or more")
 	}
-	empty := DigestKey(nil)
+	empty := DigestKey("")
 	for n, key := range c.Keys {
 		if key == empty {
 			return invalid(fmt.Sprintf(".keys[%d]", n), "the key is empty")
