pkg/permitter: permissions that end on their holder's own clock

Cause: three things are granted for a time: the proof that a host's declaration is the newest one, a share of a customer's quota, and a share of the rate of a cold server. None may outlive its term on a host that is cut off or frozen, and the shares must never add up to more than the whole, whoever owns them.

Change: Permission, Prover (one quorum read confirms the readings of many hosts), Allotter and Holder (a level that refills, from which allotments are reserved; totals per session make lost, late and repeated messages harmless).

--- /dev/null
+++ b/pkg/permitter/allotter.go
@@ -0,0 +1,314 @@
+package permitter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+// roundingTolerance is the allowed rounding error of sums of fractions of a request.
+const roundingTolerance = 1e-6
+
+// SessionID identifies the exchange of reports and answers between one owner and one holder. Counters start anew
+// with each session.
+type SessionID struct {
+	Owner identifier.HostID `msgpack:"o"`
+	// Began is when the session began, by the clock of the owner.
+	Began identifier.Instant `msgpack:"b"`
+}
+
+// AccountReport is what a holder reports of one account. The counters are totals of the session.
+type AccountReport[A cmp.Ordered] struct {
+	Account A `msgpack:"a"`
+	// Spent counts the requests sent, Undone those of them that turned out not to run and may be sent again, and
+	// Returned the requests that the holder no longer wants to send.
+	Spent    Requests `msgpack:"s"`
+	Undone   Requests `msgpack:"u"`
+	Returned Requests `msgpack:"r"`
+	// Target is how many requests the holder wants to hold, Waiting of them for requests that wait.
+	Target  Requests `msgpack:"t"`
+	Waiting Requests `msgpack:"w"`
+}
+
+// Report is a holder's message to the owner.
+type Report[A cmp.Ordered] struct {
+	Session  SessionID          `msgpack:"s"`
+	Asked    Reading            `msgpack:"a"`
+	Accounts []AccountReport[A] `msgpack:"c"`
+}
+
+// Allotment is the owner's answer about one account.
+type Allotment[A cmp.Ordered] struct {
+	Account A `msgpack:"a"`
+	// Granted is the total of the session.
+	Granted Requests `msgpack:"g"`
+	// Unknown is set if the owner knows no limit for the account.
+	Unknown bool `msgpack:"u"`
+	// RetryAfter is when there will be another request to grant, in microseconds, if the holder was left without.
+	RetryAfter identifier.Micros `msgpack:"r"`
+}
+
+// Answer is the owner's answer to a Report.
+type Answer[A cmp.Ordered] struct {
+	Session  SessionID      `msgpack:"s"`
+	Asked    Reading        `msgpack:"a"`
+	Accounts []Allotment[A] `msgpack:"c"`
+}
+
+// Allotter divides limits among holders. It is not safe for concurrent use.
+type Allotter[A cmp.Ordered] struct {
+	owner     identifier.HostID
+	began     identifier.Instant
+	tolerance Tolerance
+	accounts  map[A]*account
+	sessions  map[identifier.HostID]*session[A]
+	lastBegan identifier.Instant
+	// violated is set once an account has granted more than it earned, or a holder has spent more than it was
+	// granted.
+	violated bool
+}
+
+// account is the state of one limit.
+type account struct {
+	limit Limit
+	// level is how many requests may be sent now, of which reserved are allotted to holders.
+	level    float64
+	filledAt identifier.Instant
+	reserved Requests
+	// earned is the sum of the first level and the refills, granted that of the allotments less what was returned.
+	// They check the arithmetic of level and reserved.
+	earned  float64
+	granted Requests
+}
+
+type session[A cmp.Ordered] struct {
+	id      SessionID
+	process identifier.Instant
+	// asked is the holder's latest reading, by its clock. until is when everything allotted has ended there.
+	asked  identifier.Instant
+	until  identifier.Instant
+	shares map[A]*share
+}
+
+// share is what a holder was granted of an account, and what it has reported.
+type share struct {
+	granted, spent, undone, returned Requests
+}
+
+// unspent returns how many requests the holder may still send, as far as reported.
+func (s *share) unspent() Requests {
+	return s.granted - s.spent + s.undone - s.returned
+}
+
+// NewAllotter returns an Allotter of a host that has become the owner now.
+func NewAllotter[A cmp.Ordered](now identifier.Instant, owner identifier.HostID, t Tolerance) *Allotter[A] {
+	return &Allotter[A]{
+		owner: owner, began: now, tolerance: t,
+		accounts: map[A]*account{}, sessions: map[identifier.HostID]*session[A]{},
+	}
+}
+
+// SetLimits replaces all limits. A limit that was lowered holds at once for what is not allotted yet; what is
+// allotted is spent or ends within Term. An account that was not known before counts as one of a new owner, since
+// it may have had a limit before and lost it for a while.
+func (o *Allotter[A]) SetLimits(now identifier.Instant, limits map[A]Limit) {
+	for id, a := range o.accounts {
+		limit, kept := limits[id]
+		if !kept && a.reserved == 0 {
+			delete(o.accounts, id)
+			continue
+		}
+		o.refill(now, a)
+		a.limit = limit
+		a.level = min(a.level, o.tolerance.maximum(limit))
+	}
+	for id, limit := range limits {
+		if _, known := o.accounts[id]; known {
+			continue
+		}
+		first := o.tolerance.first(limit)
+		start := max(now, o.began.Add(Overlap))
+		o.accounts[id] = &account{limit: limit, level: first, earned: first, filledAt: start}
+	}
+}
+
+// refill raises the level by what has accrued, up to the maximum.
+func (o *Allotter[A]) refill(now identifier.Instant, a *account) {
+	if now <= a.filledAt {
+		return
+	}
+	accrued := a.limit.perSecond() * seconds(now.Since(a.filledAt))
+	a.filledAt = now
+	accrued = max(0, min(accrued, o.tolerance.maximum(a.limit)-a.level))
+	a.level += accrued
+	a.earned += accrued
+}
+
+// Handle records a holder's report and returns what it is allotted.
+func (o *Allotter[A]) Handle(now identifier.Instant, holder identifier.HostID, r Report[A]) Answer[A] {
+	o.endLapsed(now)
+	s, ok := o.sessions[holder]
+	continued := ok && s.id == r.Session && s.process == r.Asked.Process
+	if ok && !continued && s.isLate(r.Asked) {
+		return Answer[A]{}
+	}
+	if !continued {
+		if ok {
+			o.endSession(holder, s)
+		}
+		s = o.beginSession(now, holder, r.Asked.Process)
+	}
+	s.asked = max(s.asked, r.Asked.At)
+	s.until = now.Add(Term)
+	answer := Answer[A]{Session: s.id, Asked: r.Asked}
+	for _, reported := range r.Accounts {
+		answer.Accounts = append(answer.Accounts, o.allot(now, s, reported, continued))
+	}
+	return answer
+}
+
+// isLate reports whether a report was made before the latest one of the session, or by an earlier process of
+// the holder.
+func (s *session[A]) isLate(asked Reading) bool {
+	return asked.Process < s.process || (asked.Process == s.process && asked.At <= s.asked)
+}
+
+func (o *Allotter[A]) beginSession(now identifier.Instant, holder identifier.HostID, process identifier.Instant) *session[A] {
+	o.lastBegan = max(now, o.lastBegan+1)
+	s := &session[A]{id: SessionID{Owner: o.owner, Began: o.lastBegan}, process: process, shares: map[A]*share{}}
+	o.sessions[holder] = s
+	return s
+}
+
+// endLapsed ends the sessions whose allotments have ended at their holders.
+func (o *Allotter[A]) endLapsed(now identifier.Instant) {
+	for holder, s := range o.sessions {
+		if now > s.until {
+			o.endSession(holder, s)
+		}
+	}
+}
+
+// endSession counts everything that was allotted and not reported as spent.
+func (o *Allotter[A]) endSession(holder identifier.HostID, s *session[A]) {
+	for id, x := range s.shares {
+		o.spend(o.accounts[id], x.unspent())
+	}
+	delete(o.sessions, holder)
+}
+
+// spend moves requests from reserved to spent.
+func (o *Allotter[A]) spend(a *account, count Requests) {
+	a.level -= float64(count)
+	a.reserved -= count
+}
+
+// allot records what a holder reports of an account and grants what is available.
+func (o *Allotter[A]) allot(now identifier.Instant, s *session[A], r AccountReport[A], continued bool) Allotment[A] {
+	a, ok := o.accounts[r.Account]
+	if !ok {
+		return Allotment[A]{Account: r.Account, Unknown: true}
+	}
+	o.refill(now, a)
+	x, ok := s.shares[r.Account]
+	if !ok {
+		x = &share{}
+		s.shares[r.Account] = x
+	}
+	if continued {
+		o.record(a, x, r)
+	}
+	available := max(0, math.Floor(a.level-float64(a.reserved)+roundingTolerance))
+	// Half of what is available stays for other holders, unless requests wait.
+	offer := max(min(available, float64(r.Waiting)), math.Ceil(available/2))
+	grant := max(0, min(r.Target-x.unspent(), Requests(offer)))
+	x.granted += grant
+	a.reserved += grant
+	a.granted += grant
+	o.violated = o.violated || !a.withinEarnings() || x.unspent() < 0
+	answer := Allotment[A]{Account: r.Account, Granted: x.granted}
+	if x.unspent() < max(1, r.Waiting) {
+		answer.RetryAfter = a.retryAfter(now)
+	}
+	return answer
+}
+
+// record applies the counters of a report. They only grow, so a late report changes nothing.
+func (o *Allotter[A]) record(a *account, x *share, r AccountReport[A]) {
+	if r.Undone > x.undone && r.Undone <= r.Spent {
+		back := r.Undone - x.undone
+		x.undone = r.Undone
+		a.reserved += back
+		a.level = min(o.tolerance.maximum(a.limit), a.level+float64(back))
+	}
+	if spent := min(r.Spent, x.granted+x.undone-x.returned); spent > x.spent {
+		o.spend(a, spent-x.spent)
+		x.spent = spent
+	}
+	if returned := min(r.Returned, x.granted-x.spent+x.undone); returned > x.returned {
+		a.reserved -= returned - x.returned
+		a.granted -= returned - x.returned
+		x.returned = returned
+	}
+}
+
+// retryAfter returns how long it takes until a request can be granted.
+func (a *account) retryAfter(now identifier.Instant) identifier.Micros {
+	missing := 1 - (a.level - float64(a.reserved))
+	if missing <= 0 {
+		return 0
+	}
+	if a.limit.Rate <= 0 {
+		return Term
+	}
+	wait := identifier.Micros(missing / a.limit.perSecond() * float64(identifier.Second))
+	return wait + max(0, a.filledAt.Since(now))
+}
+
+// Violated reports whether the arithmetic of an account has ever failed. It must never be true.
+func (o *Allotter[A]) Violated() bool { return o.violated }
+
+// Balanced reports whether no more requests are allotted than were earned, and none is reserved twice. It must
+// always hold.
+func (o *Allotter[A]) Balanced() bool {
+	reserved := map[A]Requests{}
+	for _, s := range o.sessions {
+		for id, x := range s.shares {
+			if x.unspent() < 0 {
+				return false
+			}
+			reserved[id] += x.unspent()
+		}
+	}
+	for id, a := range o.accounts {
+		if a.reserved != reserved[id] || !a.withinEarnings() {
+			return false
+		}
+	}
+	return true
+}
+
+// withinEarnings reports whether an account has granted no more than it earned.
+func (a *account) withinEarnings() bool {
+	return float64(a.granted) <= max(0, a.earned)+roundingTolerance*float64(a.granted+1)
+}
+
+// Held returns how many requests of an account holders may still send, as far as reported.
+func (o *Allotter[A]) Held(id A) Requests {
+	if a, ok := o.accounts[id]; ok {
+		return a.reserved
+	}
+	return 0
+}
+
+// Accounts returns the accounts with a limit, in order.
+func (o *Allotter[A]) Accounts() []A {
+	ids := make([]A, 0, len(o.accounts))
+	for id := range o.accounts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/pkg/permitter/doc.go
@@ -0,0 +1,35 @@
+// Package permitter grants permissions that end on their holder's own clock.
+//
+// A holder asks, and notes when by its clock. The answer echoes that reading, and the permission ends a fixed
+// term after it. The grantor can't answer before it was asked, so once the term has passed since its answer, the
+// permission has ended at the holder too, whether the holder is cut off, frozen or gone. The clocks are never
+// compared; they only have to run at the same speed, also while the machine is suspended.
+//
+// There are two kinds of permissions:
+//
+//   - A Permission is held or not. A Prover collects the readings of many holders and confirms them all with one
+//     read of a shared version. It answers the load of hundreds of hosts that each ask several times a second.
+//   - An allotment is a number of requests that the holder may send. An Allotter owns limits, such as quotas, and
+//     divides them among hosts by demand. It answers the load of many small senders, each of which reaches a given
+//     host rarely, beside a few that send far more than their limit.
+//
+// # Why two owners can't both grant in full
+//
+// An Allotter keeps a level for each account, which refills at the rate of the limit up to a maximum. Allotments are
+// reserved from it. In any window, what holders spend is at most the level at its start plus the refill. A new
+// owner doesn't know what its predecessor has granted. That is at most the maximum level, and it ends within
+// Term. So the new owner starts at a level that is low enough, 0 or less, and refills only after Overlap, when
+// the previous owner has stopped. The maximum level and the first one share the tolerance of the limit, so the sum
+// stays within it however often the owner changes.
+//
+// # Usage
+//
+//	owner := permitter.NewAllotter[identifier.CustomerID](now, "control-1", tolerance)
+//	owner.SetLimits(now, limits)
+//	holder := permitter.NewHolder[identifier.CustomerID]()
+//	holder.Use(now, "clinic")
+//	if _, ok := holder.Take(now, "clinic"); !ok {
+//		answer := owner.Handle(now, "host-1", holder.Report(now, reading))
+//		holder.Receive(now, answer)
+//	}
+package permitter
--- /dev/null
+++ b/pkg/permitter/holder.go
@@ -0,0 +1,283 @@
+package permitter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+)
+
+const (
+	// coverTime is how much of its recent demand a holder wants to hold, so that requests need not wait for the
+	// owner, and most go on while another one is elected.
+	coverTime = 2 * identifier.Second
+	// idleTime is the time without requests of an account after which a holder returns what it holds. An account
+	// with one request in ten seconds at this host still finds one.
+	idleTime = 10 * identifier.Second
+	// reportDelay is how long a holder collects what it has spent before it reports it.
+	reportDelay = 100 * identifier.Millisecond
+	// renewInterval is the time between reports that renew what is held.
+	renewInterval = Term / 4
+	// answerTimeout is how long a holder waits for an answer before it reports again.
+	answerTimeout = 100 * identifier.Millisecond
+)
+
+// Holder keeps the allotments of one host. It is not safe for concurrent use.
+type Holder[A cmp.Ordered] struct {
+	session SessionID
+	valid   Permission
+	// earlier is the permission of what was held when the session last changed.
+	earlier Permission
+	shares  map[A]*held
+	// reportedAt is when the last report was made, answered whether its answer has arrived, and changedAt when
+	// the oldest change that no report contains was made.
+	reportedAt identifier.Instant
+	answered   bool
+	changedAt  identifier.Instant
+	changed    bool
+}
+
+// held is what the host holds of one account, and what it was asked for.
+type held struct {
+	granted, spent, undone, returned Requests
+	// earlier is what is left of the allotments of previous sessions. Their owner counts them as spent.
+	earlier Requests
+	// confirmed holds the counters that the owner knows, and sent those of the report made at sentAt.
+	confirmed, sent counters
+	sentAt          identifier.Instant
+	// waiting counts the requests that wait for an allotment.
+	waiting Requests
+	// demand is a count of requests that decays with coverTime, updated at usedAt.
+	demand float64
+	usedAt identifier.Instant
+	// deniedUntil is when the owner has more to grant, and unknown is set while it knows no limit.
+	deniedUntil identifier.Instant
+	unknown     bool
+}
+
+type counters struct{ spent, undone, returned Requests }
+
+// Credit is one request taken from an allotment.
+type Credit[A cmp.Ordered] struct {
+	account A
+	session SessionID
+}
+
+// NewHolder returns a Holder that holds nothing.
+func NewHolder[A cmp.Ordered]() *Holder[A] {
+	return &Holder[A]{shares: map[A]*held{}, answered: true}
+}
+
+func (x *held) unspent() Requests {
+	return x.granted - x.spent + x.undone - x.returned
+}
+
+// target returns how many requests the host wants to hold.
+func (x *held) target(now identifier.Instant) Requests {
+	if now.Since(x.usedAt) >= idleTime {
+		return x.waiting
+	}
+	return x.waiting + max(1, Requests(math.Ceil(x.decayed(now)-0.5)))
+}
+
+// decayed returns the demand at an instant.
+func (x *held) decayed(now identifier.Instant) float64 {
+	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(coverTime))
+}
+
+// Use records the demand of one request. It must be called once for each, before Take.
+func (h *Holder[A]) Use(now identifier.Instant, id A) {
+	x, ok := h.shares[id]
+	if !ok {
+		x = &held{}
+		h.shares[id] = x
+	}
+	x.demand = x.decayed(now) + 1
+	x.usedAt = now
+}
+
+// Take takes a request from the allotment of an account. It returns false if nothing is held.
+func (h *Holder[A]) Take(now identifier.Instant, id A) (Credit[A], bool) {
+	x, ok := h.shares[id]
+	if !ok {
+		return Credit[A]{}, false
+	}
+	h.endLapsed(now)
+	if x.earlier > 0 {
+		x.earlier--
+		return Credit[A]{account: id}, true
+	}
+	if x.unspent() <= 0 {
+		return Credit[A]{}, false
+	}
+	x.spent++
+	h.noteChange(now)
+	return Credit[A]{id, h.session}, true
+}
+
+// Undo gives back a credit whose request did not run.
+func (h *Holder[A]) Undo(now identifier.Instant, c Credit[A]) {
+	x, ok := h.shares[c.account]
+	if !ok || c.session != h.session || c.session == (SessionID{}) || !h.valid.Holds(now) || x.undone >= x.spent {
+		return
+	}
+	x.undone++
+	h.noteChange(now)
+}
+
+// Wait changes the number of requests of an account that wait for an allotment.
+func (h *Holder[A]) Wait(id A, change Requests) {
+	if x, ok := h.shares[id]; ok {
+		x.waiting = max(0, x.waiting+change)
+	}
+}
+
+// DeniedUntil returns when the owner has more to grant, if it has denied an allotment before; else an instant
+// that has passed.
+func (h *Holder[A]) DeniedUntil(id A) identifier.Instant {
+	if x, ok := h.shares[id]; ok {
+		return x.deniedUntil
+	}
+	return 0
+}
+
+// Unknown reports whether the owner has answered that it knows no limit for the account.
+func (h *Holder[A]) Unknown(id A) bool {
+	x, ok := h.shares[id]
+	return ok && x.unknown
+}
+
+// Held returns how many requests of an account the host may send.
+func (h *Holder[A]) Held(now identifier.Instant, id A) Requests {
+	h.endLapsed(now)
+	if x, ok := h.shares[id]; ok {
+		return x.unspent() + x.earlier
+	}
+	return 0
+}
+
+func (h *Holder[A]) noteChange(now identifier.Instant) {
+	if !h.changed {
+		h.changed, h.changedAt = true, now
+	}
+}
+
+// endLapsed drops the allotments that have ended.
+func (h *Holder[A]) endLapsed(now identifier.Instant) {
+	if !h.earlier.Holds(now) && h.earlier != (Permission{}) {
+		h.earlier = Permission{}
+		for _, x := range h.shares {
+			x.earlier = 0
+		}
+	}
+	if !h.valid.Holds(now) && h.session != (SessionID{}) {
+		h.beginSession(SessionID{})
+	}
+}
+
+// changeSession begins another session and keeps what is left of the current one until its permission ends.
+func (h *Holder[A]) changeSession(now identifier.Instant, id SessionID) {
+	h.endLapsed(now)
+	if h.session != (SessionID{}) {
+		for _, x := range h.shares {
+			x.earlier += max(0, x.unspent())
+		}
+		if h.earlier == (Permission{}) || h.valid.Until() < h.earlier.Until() {
+			h.earlier = h.valid
+		}
+	}
+	h.beginSession(id)
+}
+
+func (h *Holder[A]) beginSession(id SessionID) {
+	h.session, h.valid = id, Permission{}
+	for _, x := range h.shares {
+		x.granted, x.spent, x.undone, x.returned = 0, 0, 0, 0
+		x.confirmed, x.sent = counters{}, counters{}
+	}
+}
+
+// NextReport returns when the host must report, or identifier.Never if it has nothing to report.
+func (h *Holder[A]) NextReport(now identifier.Instant) identifier.Instant {
+	next := identifier.Never
+	if h.changed {
+		next = h.changedAt.Add(reportDelay)
+	}
+	for _, x := range h.shares {
+		switch {
+		case x.waiting > 0 && x.deniedUntil <= now:
+			next = min(next, now)
+		case x.waiting > 0:
+			next = min(next, x.deniedUntil)
+		case x.unspent() < x.target(now):
+			next = min(next, max(x.deniedUntil, h.reportedAt.Add(reportDelay)))
+		}
+		if x.unspent() > 0 {
+			next = min(next, h.reportedAt.Add(renewInterval))
+		}
+	}
+	if !h.answered {
+		next = max(next, h.reportedAt.Add(answerTimeout))
+	}
+	return next
+}
+
+// Report returns a report to the owner. The reading is the current one of the clock.
+func (h *Holder[A]) Report(asked Reading) Report[A] {
+	now := asked.At
+	h.endLapsed(now)
+	h.reportedAt, h.answered, h.changed = now, false, false
+	r := Report[A]{Session: h.session, Asked: asked}
+	for id, x := range h.shares {
+		target := x.target(now)
+		if target == 0 && x.unspent() > 0 {
+			x.returned += x.unspent()
+		}
+		known := counters{x.spent, x.undone, x.returned}
+		if target == 0 && known == x.confirmed {
+			delete(h.shares, id)
+			continue
+		}
+		if known == x.confirmed && (x.unspent() >= target || (x.waiting == 0 && x.deniedUntil > now)) {
+			continue
+		}
+		x.sent, x.sentAt = known, now
+		r.Accounts = append(r.Accounts, AccountReport[A]{
+			Account: id, Spent: x.spent, Undone: x.undone, Returned: x.returned, Target: target, Waiting: x.waiting,
+		})
+	}
+	slices.SortFunc(r.Accounts, func(a, b AccountReport[A]) int { return cmp.Compare(a.Account, b.Account) })
+	return r
+}
+
+// Receive records the owner's answer to a report of this process.
+func (h *Holder[A]) Receive(now identifier.Instant, a Answer[A]) {
+	if a.Session == (SessionID{}) || a.Asked.At > now || a.Asked.At.Add(Term) <= now {
+		return
+	}
+	if a.Session != h.session {
+		if a.Asked.At < h.reportedAt {
+			// The answer to an earlier report may belong to a session that has ended since.
+			return
+		}
+		h.changeSession(now, a.Session)
+	}
+	h.valid.Renew(a.Asked.At, Term)
+	h.answered = h.answered || a.Asked.At == h.reportedAt
+	for _, x := range a.Accounts {
+		known, ok := h.shares[x.Account]
+		if !ok {
+			continue
+		}
+		known.granted = max(known.granted, x.Granted)
+		known.unknown = x.Unknown
+		if known.sentAt == a.Asked.At {
+			known.confirmed = known.sent
+		}
+		known.deniedUntil = 0
+		if x.RetryAfter > 0 {
+			known.deniedUntil = now.Add(x.RetryAfter)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/permitter/permitter_test.go
@@ -0,0 +1,349 @@
+package permitter_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
+)
+
+var randomEvents = flag.Int("permit-events", 1_000_000, "number of random events of the permitter's tests")
+
+func TestPermitter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "permitter")
+}
+
+type customer = identifier.CustomerID
+
+var tolerance = permitter.Tolerance{Window: 5 * identifier.Second, Overage: 0.1, Slack: 20}
+
+// limitOf returns the greatest number of requests in a window that the tolerance allows.
+func limitOf(l permitter.Limit) int {
+	window := float64(tolerance.Window) / float64(identifier.Second)
+	return int((float64(l.Rate)*window+l.Burst)*(1+float64(tolerance.Overage)) + tolerance.Slack)
+}
+
+func Example() {
+	owner := permitter.NewAllotter[customer](0, "control-1", tolerance)
+	owner.SetLimits(0, map[customer]permitter.Limit{"clinic": {Rate: 2, Burst: 2}})
+	now := identifier.Instant(10 * identifier.Second)
+	holder := permitter.NewHolder[customer]()
+	holder.Use(now, "clinic")
+	_, ok := holder.Take(now, "clinic")
+	fmt.Println(ok)
+	answer := owner.Handle(now, "host-1", holder.Report(permitter.Reading{Process: 1, At: now}))
+	holder.Receive(now, answer)
+	_, ok = holder.Take(now, "clinic")
+	fmt.Println(ok)
+	// Output:
+	// false
+	// true
+}
+
+// cluster plays owners and holders whose messages are late, lost and repeated.
+type cluster struct {
+	random  *rand.Rand
+	now     identifier.Instant
+	limits  map[customer]permitter.Limit
+	owners  []*owner
+	holders []*holder
+	// inTransit are the messages on their way.
+	inTransit []message
+	// spent holds when requests of each customer were sent, within the window.
+	spent map[customer][]identifier.Instant
+	taken int
+}
+
+type owner struct {
+	allotter *permitter.Allotter[customer]
+	// until is when the owner stops, after another one has taken over.
+	until identifier.Instant
+}
+
+type holder struct {
+	id      identifier.HostID
+	process identifier.Instant
+	// offset is added to the time to get the reading of the holder's clock.
+	offset identifier.Micros
+	keeper *permitter.Holder[customer]
+	// frozenUntil is when the holder's process runs again, by the time.
+	frozenUntil identifier.Instant
+	credits     []permitter.Credit[customer]
+}
+
+// message is a report to an owner or an answer to a holder.
+type message struct {
+	at      identifier.Instant
+	holder  int
+	process identifier.Instant
+	report  *permitter.Report[customer]
+	owner   int
+	answer  *permitter.Answer[customer]
+}
+
+func newCluster(seed uint64, hosts int) *cluster {
+	c := &cluster{
+		random: rand.New(rand.NewPCG(seed, 1)), now: identifier.Instant(100 * identifier.Second), spent: map[customer][]identifier.Instant{},
+		limits: map[customer]permitter.Limit{"small": {Rate: 1.2, Burst: 1.2}, "large": {Rate: 34, Burst: 34}, "slow": {Rate: 0.1}},
+	}
+	for i := range hosts {
+		c.holders = append(c.holders, &holder{
+			id: identifier.HostID(fmt.Sprintf("host-%d", i)), process: 1, offset: identifier.Micros(c.random.Int64N(int64(identifier.Minute))),
+			keeper: permitter.NewHolder[customer](),
+		})
+	}
+	c.changeOwner()
+	return c
+}
+
+// changeOwner makes another host the owner. The previous one stops within Overlap.
+func (c *cluster) changeOwner() {
+	if n := len(c.owners); n > 0 {
+		c.owners[n-1].until = min(c.owners[n-1].until, c.now.Add(identifier.Micros(c.random.Int64N(int64(permitter.Overlap)))))
+	}
+	o := &owner{
+		allotter: permitter.NewAllotter[customer](c.now, identifier.HostID(fmt.Sprintf("control-%d", len(c.owners))), tolerance),
+		until:    identifier.Never,
+	}
+	o.allotter.SetLimits(c.now, c.limits)
+	c.owners = append(c.owners, o)
+}
+
+// deliverLater puts a message in transit, late, twice or not at all.
+func (c *cluster) deliverLater(m message) {
+	copies := 1
+	switch c.random.IntN(20) {
+	case 0:
+		copies = 0
+	case 1:
+		copies = 2
+	}
+	for range copies {
+		delay := identifier.Micros(c.random.Int64N(int64(5 * identifier.Millisecond)))
+		if c.random.IntN(30) == 0 {
+			delay = identifier.Micros(c.random.Int64N(int64(3 * identifier.Second)))
+		}
+		m.at = c.now.Add(delay)
+		c.inTransit = append(c.inTransit, m)
+	}
+}
+
+// step plays one random event.
+func (c *cluster) step() {
+	c.now = c.now.Add(identifier.Micros(c.random.Int64N(int64(2 * identifier.Millisecond))))
+	c.deliver()
+	i := c.random.IntN(len(c.holders))
+	h := c.holders[i]
+	switch n := c.random.IntN(4000); {
+	case n == 0:
+		c.changeOwner()
+	case n < 4:
+		h.frozenUntil = c.now.Add(identifier.Micros(c.random.Int64N(int64(8 * identifier.Second))))
+	case n == 4:
+		h.process, h.keeper, h.credits = h.process+1, permitter.NewHolder[customer](), nil
+	case h.frozenUntil > c.now:
+	case n < 1500:
+		c.request(h)
+	case n < 1550 && len(h.credits) > 0:
+		h.keeper.Undo(h.clock(c.now), h.credits[0])
+		h.credits = h.credits[1:]
+	case h.keeper.NextReport(h.clock(c.now)) <= h.clock(c.now):
+		r := h.keeper.Report(permitter.Reading{Process: h.process, At: h.clock(c.now)})
+		to := len(c.owners) - 1
+		if c.random.IntN(10) == 0 {
+			to = c.random.IntN(len(c.owners))
+		}
+		c.deliverLater(message{holder: i, process: h.process, report: &r, owner: to})
+	}
+}
+
+func (h *holder) clock(now identifier.Instant) identifier.Instant { return now.Add(h.offset) }
+
+// request sends a request of a random customer if the holder may.
+func (c *cluster) request(h *holder) {
+	id := []customer{"small", "large", "large", "large", "slow"}[c.random.IntN(5)]
+	h.keeper.Use(h.clock(c.now), id)
+	credit, ok := h.keeper.Take(h.clock(c.now), id)
+	if !ok {
+		return
+	}
+	if c.random.IntN(20) == 0 {
+		// It turns out not to run.
+		h.keeper.Undo(h.clock(c.now), credit)
+		return
+	}
+	c.taken++
+	window := slices.DeleteFunc(c.spent[id], func(at identifier.Instant) bool { return c.now.Since(at) >= tolerance.Window })
+	c.spent[id] = append(window, c.now)
+	gomega.Expect(len(c.spent[id])).To(gomega.BeNumerically("<=", limitOf(c.limits[id])), "requests of %s within a window, at %d", id, c.now)
+}
+
+func (c *cluster) deliver() {
+	var due []message
+	c.inTransit = slices.DeleteFunc(c.inTransit, func(m message) bool {
+		if m.at <= c.now {
+			due = append(due, m)
+		}
+		return m.at <= c.now
+	})
+	for _, m := range due {
+		h := c.holders[m.holder]
+		if m.report != nil {
+			if o := c.owners[m.owner]; c.now < o.until {
+				a := o.allotter.Handle(c.now, h.id, *m.report)
+				gomega.Expect(o.allotter.Violated()).To(gomega.BeFalse())
+				c.deliverLater(message{holder: m.holder, process: m.process, answer: &a})
+			}
+			continue
+		}
+		if h.frozenUntil > c.now {
+			// A frozen process reads the message when it runs again.
+			m.at = h.frozenUntil
+			c.inTransit = append(c.inTransit, m)
+			continue
+		}
+		if m.process == h.process {
+			h.keeper.Receive(h.clock(c.now), *m.answer)
+		}
+	}
+}
+
+var _ = ginkgo.Describe("allotments", func() {
+	for _, c := range []struct {
+		name  string
+		hosts int
+		seed  uint64
+	}{
+		{"stay within the limit with a few hosts", 3, 1},
+		{"stay within the limit with many hosts", 60, 2},
+		{"stay within the limit with a single host", 1, 3},
+	} {
+		ginkgo.It(c.name+" while owners change, hosts freeze and messages are late, lost or repeated", func() {
+			x := newCluster(c.seed, c.hosts)
+			for i := range *randomEvents {
+				x.step()
+				if i%10000 == 0 {
+					gomega.Expect(x.owners[len(x.owners)-1].allotter.Balanced()).To(gomega.BeTrue())
+				}
+			}
+			// The play must spend enough to reach the limits.
+			gomega.Expect(x.taken).To(gomega.BeNumerically(">", *randomEvents/1000))
+		})
+	}
+
+	// start returns an owner with a full level and a holder.
+	start := func(l permitter.Limit) (*permitter.Allotter[customer], *permitter.Holder[customer], identifier.Instant) {
+		o := permitter.NewAllotter[customer](0, "control-1", tolerance)
+		o.SetLimits(0, map[customer]permitter.Limit{"a": l})
+		return o, permitter.NewHolder[customer](), identifier.Instant(identifier.Minute)
+	}
+	exchange := func(o *permitter.Allotter[customer], h *permitter.Holder[customer], now identifier.Instant) {
+		h.Receive(now, o.Handle(now, "host", h.Report(permitter.Reading{Process: 1, At: now})))
+	}
+
+	ginkgo.It("end a term after the holder asked", func() {
+		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+		h.Use(now, "a")
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now.Add(permitter.Term-1), "a")).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(h.Held(now.Add(permitter.Term), "a")).To(gomega.BeZero())
+	})
+
+	ginkgo.It("are denied beyond the limit, until more can be granted", func() {
+		o, h, now := start(permitter.Limit{Rate: 2, Burst: 2})
+		for range limitOf(permitter.Limit{Rate: 2, Burst: 2}) {
+			h.Use(now, "a")
+			if _, ok := h.Take(now, "a"); !ok {
+				h.Wait("a", 1)
+				exchange(o, h, now)
+				h.Wait("a", -1)
+				h.Take(now, "a")
+			}
+			now++
+		}
+		wait := h.DeniedUntil("a").Since(now)
+		gomega.Expect(wait).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 500*identifier.Millisecond)))
+	})
+
+	ginkgo.It("of requests that did not run are used again", func() {
+		o, h, now := start(permitter.Limit{Burst: 1})
+		h.Use(now, "a")
+		exchange(o, h, now)
+		held := h.Held(now, "a")
+		credit, _ := h.Take(now, "a")
+		h.Undo(now, credit)
+		h.Undo(now, credit)
+		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(held))
+	})
+
+	ginkgo.It("go back to the owner when a holder is idle", func() {
+		o, h, now := start(permitter.Limit{Rate: 1, Burst: 1})
+		h.Use(now, "a")
+		exchange(o, h, now)
+		gomega.Expect(o.Held("a")).To(gomega.BeNumerically(">", 0))
+		for range 12 {
+			now = now.Add(identifier.Second)
+			exchange(o, h, now)
+		}
+		gomega.Expect(o.Held("a")).To(gomega.BeZero())
+		gomega.Expect(h.NextReport(now)).To(gomega.Equal(identifier.Never))
+	})
+
+	ginkgo.It("of a lowered limit are granted by the new one", func() {
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
+		for range 200 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically("<=", limitOf(permitter.Limit{Rate: 1, Burst: 1})))
+	})
+})
+
+var _ = ginkgo.Describe("a prover", func() {
+	ginkgo.It("confirms what was asked before a read began", func() {
+		p := permitter.NewProver()
+		now := identifier.Instant(identifier.Minute)
+		p.Ask("a", permitter.Reading{Process: 1, At: 5})
+		gomega.Expect(p.Begin(now)).To(gomega.BeTrue())
+		gomega.Expect(p.Begin(now)).To(gomega.BeFalse())
+		p.Ask("a", permitter.Reading{Process: 1, At: 9})
+		p.Finish(true, 7)
+		reading, version, ok := p.Proof("a")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(reading.At).To(gomega.Equal(identifier.Instant(5)))
+		gomega.Expect(version).To(gomega.Equal(identifier.Version(7)))
+	})
+
+	ginkgo.It("confirms nothing when the read fails, and reads again", func() {
+		p := permitter.NewProver()
+		now := identifier.Instant(identifier.Minute)
+		p.Ask("a", permitter.Reading{Process: 1, At: 5})
+		p.Begin(now)
+		p.Finish(false, 0)
+		_, _, ok := p.Proof("a")
+		gomega.Expect(ok).To(gomega.BeFalse())
+		gomega.Expect(p.Begin(now.Add(permitter.ProofInterval))).To(gomega.BeTrue())
+		p.Finish(true, 7)
+		reading, _, _ := p.Proof("a")
+		gomega.Expect(reading.At).To(gomega.Equal(identifier.Instant(5)))
+	})
+
+	ginkgo.It("prefers the reading of the latest process", func() {
+		p := permitter.NewProver()
+		p.Ask("a", permitter.Reading{Process: 2, At: 1})
+		p.Ask("a", permitter.Reading{Process: 1, At: 9})
+		p.Begin(identifier.Instant(identifier.Minute))
+		p.Finish(true, 7)
+		reading, _, _ := p.Proof("a")
+		gomega.Expect(reading.Process).To(gomega.Equal(identifier.Instant(2)))
+	})
+})
