pkg/reducer, platform: keys, proof of the declaration and quotas

Change: a keyed request is admitted if this host's declaration is proven to be the newest one, a customer holds the key and the customer's quota allows one more. Entry hosts ask for the proof with their polls; control hosts confirm the version with one quorum read for all. The proof is checked again for each attempt and by the exchanger before it writes. Servers get the customer's name and never the key. All of it needs settings or a declaration with customers.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -54,6 +54,8 @@
 	reducer.PartsCancelled{},
 	reducer.ServersMeasured{},
 	reducer.ServersStated{},
+	reducer.AllotmentsRequested{},
+	reducer.AllotmentsSent{},
 }
 
 var tags = indexTags()
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -310,8 +310,9 @@
 // Part of the request may have reached the server.
 func (x *Exchanger) write(c *connection, a *attempt) {
 	defer close(a.written)
-	remaining := a.exchange.Deadline.Since(x.now())
-	if remaining <= 0 {
+	now := x.now()
+	remaining := a.exchange.Deadline.Since(now)
+	if remaining <= 0 || (a.exchange.ValidUntil > 0 && now >= a.exchange.ValidUntil) {
 		x.refuseExpired(c, a)
 		return
 	}
@@ -328,8 +329,8 @@
 	}
 }
 
-// refuseExpired refuses an attempt whose deadline passed before anything was written, for example
-// while the process was paused. What allowed the attempt may no longer hold either.
+// refuseExpired refuses an attempt whose deadline passed, or whose permission ended, before anything was
+// written, for example while the process was paused.
 func (x *Exchanger) refuseExpired(c *connection, a *attempt) {
 	x.mutex.Lock()
 	current := c.attempt == a
--- a/internal/loader/fleet.go
+++ b/internal/loader/fleet.go
@@ -27,6 +27,12 @@
 	if f.ExtraAttempts.Share < 0 || f.ExtraAttempts.Slack < 0 || f.ExtraAttempts.WindowMillis < 0 || f.DetourMillis < 0 {
 		d.addFault("fleet", "bounds must not be negative")
 	}
+	if f.RevocationMillis < 0 {
+		d.addFault("fleet.revocation-ms", "must not be negative")
+	}
+	if f.Quota.WindowMillis < 0 || f.Quota.Overage < 0 || f.Quota.Slack < 0 {
+		d.addFault("fleet.quota", "bounds must not be negative")
+	}
 	if f.PeerPort == 0 {
 		d.addFault("fleet.peer-port", "must be above 0")
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -102,6 +102,17 @@
 	// DetourMillis is how much longer a backend server in the local failure domain may take
 	// before one in a remote domain is preferred, in milliseconds.
 	DetourMillis float64 `yaml:"detour-ms"`
+	// RevocationMillis is the time after which a key that a declaration withdraws must not be used on any host,
+	// also one that is cut off, in milliseconds. With 0, hosts that are cut off go on using it.
+	RevocationMillis int64 `yaml:"revocation-ms"`
+	// Quota is by how much customers may exceed their quotas in a window. Without a window, quotas are not
+	// enforced.
+	Quota struct {
+		WindowMillis int64 `yaml:"window-ms"`
+		// Overage is a fraction of the quota, and Slack a number of requests.
+		Overage identifier.Ratio `yaml:"overage"`
+		Slack   float64          `yaml:"slack"`
+	} `yaml:"quota"`
 }
 
 // Control holds the settings of the hosts that maintain the replicated log.
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -94,12 +95,18 @@
 	if s.Fleet.Duty == loader.FleetEntry {
 		return reducer.EntryDuty{
 			Seeds: seeds, ExtraAttempts: extra,
-			Detour: identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
+			Detour:     identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
+			Revocation: identifier.Micros(s.Fleet.RevocationMillis) * identifier.Millisecond,
+			Quotas:     s.Fleet.Quota.WindowMillis > 0,
 		}
 	}
 	return reducer.ControlDuty{
 		Seeds: seeds, Founder: s.Fleet.Founder, Announcements: s.Listen.BackendServers,
 		AnnouncementInterval: identifier.Micros(s.Fleet.AnnouncementIntervalMillis) * identifier.Millisecond,
 		ExtraAttempts:        extra,
+		Quotas: permitter.Tolerance{
+			Window:  identifier.Micros(s.Fleet.Quota.WindowMillis) * identifier.Millisecond,
+			Overage: s.Fleet.Quota.Overage, Slack: s.Fleet.Quota.Slack,
+		},
 	}
 }
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -175,12 +175,14 @@
 	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
 		s.proposeImport()
 	}
+	s.ownQuotas()
 	s.publishControlStatus()
 }
 
 // leadershipLost is called when this host no longer leads. Commands that it proposed and
 // that have not reached apply may or may not be committed.
 func (s *State) leadershipLost() {
+	s.control.quotaOwner = nil
 	s.redirectWaiters()
 	s.publishControlStatus()
 }
--- a/pkg/reducer/declaration.go
+++ b/pkg/reducer/declaration.go
@@ -103,6 +103,7 @@
 	}
 	s.control.version = source.Version
 	s.log(ConfigurationSubsystem, Info, "declaration committed", versionField(source.Version))
+	s.updateQuotas()
 	s.publish()
 	s.notifySubscribers()
 }
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -55,6 +55,8 @@
 		Payload   Payload           `msgpack:"p"`
 		// Fingerprint is that of the client's request.
 		Fingerprint identifier.Fingerprint `msgpack:"h"`
+		// Customer is who sent the client's request; empty if no key was needed.
+		Customer identifier.CustomerID `msgpack:"c"`
 	}
 	// PartsDelivered carries parts gathered for another host, or names those that won't arrive.
 	PartsDelivered struct {
@@ -136,7 +138,7 @@
 // delegate asks hosts of remote failure domains to gather the pieces that no server in the
 // local domain can serve. One merged answer then crosses domains instead of every part.
 func (s *State) delegate(q *request) {
-	if len(q.route.Shards) == 0 || q.probing || len(s.traffic.view.Fleet.Delegates) == 0 {
+	if len(q.route.Shards) == 0 || q.probing || !s.mayServe(q.customerID()) || len(s.traffic.view.Fleet.Delegates) == 0 {
 		return
 	}
 	groups := s.groupRemotePieces(q)
@@ -209,6 +211,7 @@
 	message := PartsRequested{
 		From: s.parameters.Host, Request: q.Request, Rank: q.rank, Route: q.route.ID, TopK: q.route.TopK,
 		Remaining: q.deadline.Since(s.now), Payload: q.Payload, Fingerprint: q.Fingerprint,
+		Customer: q.customerID(),
 	}
 	typical := identifier.Micros(0)
 	for _, i := range pieces {
@@ -414,6 +417,10 @@
 		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Ended: true}})
 		return
 	}
+	if !s.mayServe(e.Customer) {
+		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Unsent: true, Ended: true}})
+		return
+	}
 	if s.isSuspect(e.Fingerprint) {
 		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Ended: true, Crashed: true}})
 		return
@@ -428,6 +435,7 @@
 		},
 		version:   s.traffic.view.Configuration,
 		rank:      min(e.Rank, identifier.RankCount-1),
+		customer:  delegatedCustomer(e.Customer),
 		arrival:   s.now,
 		started:   s.now,
 		lateFrom:  s.now.Add(e.Flush),
@@ -444,6 +452,14 @@
 	s.finishOrSchedule(q)
 }
 
+// delegatedCustomer returns the customer of a request that another host has admitted; nil if it has none.
+func delegatedCustomer(id identifier.CustomerID) *declarer.Customer {
+	if id == "" {
+		return nil
+	}
+	return &declarer.Customer{ID: id}
+}
+
 // cancelDelegated stops gathering parts that another host no longer needs.
 func (s *State) cancelDelegated(e PartsCancelled) {
 	if q, ok := s.traffic.requests[e.Key()]; ok {
--- a/pkg/reducer/duty.go
+++ b/pkg/reducer/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 )
 
 // Duty is the role of a host in its deployment. The interface is sealed: only types of this
@@ -22,6 +23,11 @@
 		// Detour is how much longer, in microseconds, an attempt within the local failure
 		// domain may take than one to a remote domain before the remote one is preferred.
 		Detour identifier.Micros
+		// Revocation is the time after which a key that a declaration withdraws must not be used on any host,
+		// in microseconds. If it is 0, hosts that are cut off go on using it.
+		Revocation identifier.Micros
+		// Quotas is set if the quotas of customers are enforced.
+		Quotas bool
 	}
 	// ControlDuty is the role of a host that stores the replicated log and the server list
 	// and serves both to entry hosts.
@@ -37,6 +43,8 @@
 		AnnouncementInterval identifier.Micros
 		// ExtraAttempts is as in EntryDuty; if its Window is 0, this host lends no extra attempts.
 		ExtraAttempts ExtraAttempts
+		// Quotas is by how much customers may exceed their quotas. If its Window is 0, they have none.
+		Quotas permitter.Tolerance
 	}
 )
 
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -86,6 +86,11 @@
 		s.declineArrived(e, Declined{Reason: NoRoute, Ran: RanNo})
 		return
 	}
+	customer, refusal := s.identify(&e, route)
+	if refusal != nil {
+		s.declineArrived(e, *refusal)
+		return
+	}
 	if until, refused := s.refusedUntil(e.Fingerprint); refused {
 		s.declineArrived(e, Declined{Reason: SuspectedCrash, Ran: RanNo, RetryAfter: until.Since(s.now)})
 		return
@@ -100,7 +105,8 @@
 		requester:      clientRequester{},
 		route:          route,
 		version:        fleet.Declaration.Version,
-		rank:           identifier.Rank(min(max(route.Priority, 0), identifier.RankCount-1)),
+		rank:           rankOf(route, customer),
+		customer:       customer,
 		arrival:        s.now,
 		started:        times.Started,
 		lateFrom:       times.LateFrom,
@@ -114,12 +120,22 @@
 		q.pieces = append(q.pieces, s.newPiece(id))
 	}
 	s.count(RequestsCounter, "", q.rank)
+	if customer != nil {
+		s.count(CustomerRequestsCounter, customer.ID, q.rank)
+	}
 	s.traffic.requests[e.Request] = q
 	if from := s.sufficientFrom(q); from > 0 {
 		s.count(UnavailablePiecesCounter, "", q.rank)
 		s.finishRequest(q, s.unavailable(q, from))
 		return
 	}
+	if s.admitByQuota(q) {
+		s.beginRequest(q)
+	}
+}
+
+// beginRequest sends the first attempts of a request that has been admitted.
+func (s *State) beginRequest(q *request) {
 	s.delegate(q)
 	s.dispatchPieces(q)
 	s.finishOrSchedule(q)
@@ -163,8 +179,12 @@
 // not run.
 func (s *State) declineArrived(e RequestArrived, outcome Declined) {
 	s.count(RequestDeclinesCounter, "", 0)
-	s.log(RequestSubsystem, Info, "request declined", Field{"client-request", e.Payload.ClientRequestID},
-		Field{"reason", string(outcome.Reason)}, fingerprintField(e.Fingerprint), versionField(s.traffic.view.Configuration))
+	fields := append([]Field{
+		{"client-request", e.Payload.ClientRequestID},
+		{"reason", string(outcome.Reason)},
+		fingerprintField(e.Fingerprint), versionField(s.traffic.view.Configuration),
+	}, s.declineFields(&e, outcome)...)
+	s.log(RequestSubsystem, Info, "request declined", fields...)
 	s.emit(ReplyRequest{Request: e.Request, Outcome: outcome})
 }
 
@@ -191,7 +211,7 @@
 // finishOrSchedule finishes a request that is answered or has run out of time or servers.
 // Otherwise it schedules the request's next timer.
 func (s *State) finishOrSchedule(q *request) {
-	if s.traffic.requests[q.Request] != q {
+	if s.traffic.requests[q.Request] != q || q.awaitsCredit {
 		return
 	}
 	if to, ok := q.requester.(*hostRequester); ok {
@@ -362,6 +382,7 @@
 // removeRequest removes a request and cancels its open attempts and delegations.
 func (s *State) removeRequest(q *request) {
 	delete(s.traffic.requests, q.Request)
+	s.returnCredit(q)
 	s.reportLosses(q)
 	for i, a := range q.attempts {
 		if a.open {
@@ -405,6 +426,7 @@
 		{"client-request", q.Payload.ClientRequestID},
 		{"route", string(q.route.ID)},
 		versionField(q.version),
+		{"customer", string(q.customerID())},
 		{"elapsed-us", formatCount(int(s.now.Since(q.arrival)))},
 		{"pieces", formatCount(len(q.pieces))},
 		{"served", formatCount(q.served)},
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -7,6 +7,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/configurer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 	"github.com/lagooncleat/lagooncleat/pkg/quarantiner"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -67,6 +68,12 @@
 	serverList     serverList
 	departureQueue departureQueue
 	declared       declaredServices
+	// proof is the permission of this entry host to count its declaration as the newest one; prover confirms
+	// those of others on a control host.
+	proof  permitter.Permission
+	prover *permitter.Prover
+	// quotaOwner divides the quotas of customers while this control host leads.
+	quotaOwner *permitter.Allotter[identifier.CustomerID]
 }
 
 type hostLease struct {
@@ -91,6 +98,7 @@
 		replication:  newReplication(),
 		clockOffsets: map[identifier.HostID]clockOffset{},
 		serverList:   newServerList(window),
+		prover:       permitter.NewProver(),
 	}
 }
 
@@ -175,6 +183,8 @@
 		s.handleMeasurements(e)
 	case ServersStated:
 		s.listStatements(e)
+	case AllotmentsRequested:
+		s.handleAllotmentRequest(e)
 	}
 }
 
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -367,6 +367,8 @@
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request, Answer: e.Answer}})
 	case departureOrigin:
 		s.answerDepartures(true)
+	case proofOrigin:
+		s.finishProof(e.Answer)
 	}
 }
 
@@ -380,5 +382,7 @@
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request}})
 	case departureOrigin:
 		s.answerDepartures(false)
+	case proofOrigin:
+		s.finishProof(LeaderMissing{})
 	}
 }
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -114,6 +114,10 @@
 	if s.sendAttempt(q, index) || p.openAttempts > 0 {
 		return
 	}
+	if !s.mayServe(q.customerID()) {
+		s.finishPiece(q, index)
+		return
+	}
 	at := s.now.Add(ServerRetryInterval)
 	if from := s.acceptedFrom(p.service, q.rank); from > 0 {
 		if from >= s.acceptanceWaitEnd(q) {
@@ -169,7 +173,7 @@
 // server is eligible or the budget of extra attempts is spent.
 func (s *State) sendAttempt(q *request, index int) bool {
 	p := &q.pieces[index]
-	if s.exhausted(q, p) {
+	if s.exhausted(q, p) || !s.mayServe(q.customerID()) {
 		return false
 	}
 	backend, ok := s.chooseBackend(q, p)
@@ -205,7 +209,8 @@
 	}
 	s.emit(Exchange{
 		Attempt: id, Server: backend.Server, Address: backend.Address, Deadline: q.deadline,
-		Connections: s.connectionLimit(p.service, backend.Domain), Fresh: !q.route.Repeatable || q.probing, Payload: q.Payload,
+		Connections: s.connectionLimit(p.service, backend.Domain), Fresh: !q.route.Repeatable || q.probing,
+		Customer: q.customerID(), ValidUntil: s.validUntil(q.customerID()), Payload: q.Payload,
 	})
 	return true
 }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -94,6 +94,7 @@
 	switch e := event.(type) {
 	case Started:
 		s.random = rand.New(rand.NewPCG(e.Seed, 0))
+		s.traffic.started = s.now
 		s.control.operations.lastNumber = OperationNumber(e.Seed)
 	case Woken:
 		s.wakeAt = identifier.Never
@@ -116,6 +117,10 @@
 		s.renewOwnership(e)
 	case LendingUpdated:
 		s.traffic.credit.updateLending(e.Lending)
+	case ProofRenewed:
+		s.traffic.provenUntil = max(s.traffic.provenUntil, e.Until)
+	case AllotmentsSent:
+		s.receiveAllotments(e)
 	case QueuesEstimated:
 		s.receiveEstimates(e.Servers)
 	}
@@ -158,6 +163,10 @@
 		s.handleRequestTimer(t)
 	case measurementDue:
 		s.sendMeasurements()
+	case creditDue:
+		s.endCreditWait(t.request)
+	case reportDue:
+		s.handleReportTimer(t)
 	}
 }
 
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -4,6 +4,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/aimer"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 )
 
 // RequestSubsystem is the log subsystem of clients' requests.
@@ -31,6 +32,9 @@
 	// Head is the part of the header that precedes the fields set for each attempt.
 	Head []byte `msgpack:"h"`
 	Body []byte `msgpack:"b"`
+	// Credentials is the part of the header that holds the client's credentials and names the customer. It
+	// is forwarded only if the declaration has no customers.
+	Credentials []byte `msgpack:"a"`
 }
 
 // Content is the part of an answer that no decision depends on. It is opaque to the
@@ -52,7 +56,10 @@
 		Distance aimer.Distance
 		// Fingerprint is the same for each resend of the request.
 		Fingerprint identifier.Fingerprint
-		Payload     Payload
+		// Credential is the digest of the key that the request presents; zero if it presents none, or in a form
+		// that no key has.
+		Credential declarer.KeyDigest
+		Payload    Payload
 	}
 	// RequestAbandoned reports that the client has closed its connection.
 	RequestAbandoned struct {
@@ -172,8 +179,12 @@
 		Connections identifier.Connections
 		// Fresh requires a connection that has been idle too briefly for the server to
 		// close it, so that an idle timeout can't lose the attempt.
-		Fresh   bool
-		Payload Payload
+		Fresh bool
+		// Customer is named to the server; empty if the declaration has no customers or the route is public.
+		Customer identifier.CustomerID
+		// ValidUntil is when the permission to send the attempt ends; 0 if it needs none.
+		ValidUntil identifier.Instant
+		Payload    Payload
 	}
 	// CancelExchange ends an attempt whose answer is no longer needed. If the answer still
 	// arrives within the grace period, the connection is kept.
@@ -224,13 +235,22 @@
 
 // The reasons for a request without an answer.
 const (
-	NoRoute         DeclineReason = "no-route"
-	NoDeclaration   DeclineReason = "no-declaration"
-	NoServer        DeclineReason = "no-server"
-	ServersRefused  DeclineReason = "servers-refused"
-	ServersFailed   DeclineReason = "servers-failed"
-	RequestTimedOut DeclineReason = "timeout"
-	TooFewParts     DeclineReason = "too-few-parts"
+	NoRoute DeclineReason = "no-route"
+	// UnknownKey requests present no key of a customer of the declaration.
+	UnknownKey DeclineReason = "unknown-key"
+	// QuotaExceeded requests are beyond their customer's quota.
+	QuotaExceeded DeclineReason = "quota-exceeded"
+	// QuotaOwnerMissing requests waited for an allotment in vain.
+	QuotaOwnerMissing DeclineReason = "quota-owner-missing"
+	// DeclarationUnproven requests need a proof that the declaration is the newest one, which the host doesn't
+	// have.
+	DeclarationUnproven DeclineReason = "declaration-unproven"
+	NoDeclaration       DeclineReason = "no-declaration"
+	NoServer            DeclineReason = "no-server"
+	ServersRefused      DeclineReason = "servers-refused"
+	ServersFailed       DeclineReason = "servers-failed"
+	RequestTimedOut     DeclineReason = "timeout"
+	TooFewParts         DeclineReason = "too-few-parts"
 	// ServersUnavailable requests were not sent, since servers leave, pause or limit their requests.
 	ServersUnavailable DeclineReason = "servers-unavailable"
 	// SuspectedCrash requests may have crashed backend servers.
@@ -244,7 +264,13 @@
 	route     *declarer.Route
 	version   identifier.Version
 	rank      identifier.Rank
-	arrival   identifier.Instant
+	// customer is who sent the request; nil if no key was needed.
+	customer *declarer.Customer
+	// credit is what the request has taken from its customer's allotment. awaitsCredit is set while it waits for
+	// one; nothing is sent meanwhile.
+	credit       permitter.Credit[identifier.CustomerID]
+	awaitsCredit bool
+	arrival      identifier.Instant
 	// started is when the client began the request, and lateFrom when an answer misses the target
 	// latency.
 	started, lateFrom identifier.Instant
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagooncleat/lagooncleat/pkg/assessor"
+	"github.com/lagooncleat/lagooncleat/pkg/authenticator"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
@@ -127,6 +128,9 @@
 		// Brief is set by an entry host that looks for a control host to subscribe to: the answer is to
 		// leave out the servers and the declaration.
 		Brief bool `msgpack:"b"`
+		// Asked is when the host asks, by its own clock, if it needs a proof that its declaration is the newest
+		// one; else zero.
+		Asked Stamp `msgpack:"a"`
 	}
 	// ServerListSent carries the changes of a control host's server list.
 	ServerListSent struct {
@@ -152,6 +156,11 @@
 		Place HostPosition `msgpack:"n"`
 		// Brief is set when the servers and the declaration are left out, as was requested.
 		Brief bool `msgpack:"b"`
+		// Proof proves which declaration was the newest one when the receiver asked earlier.
+		Proof DeclarationProof `msgpack:"o"`
+		// Leader is the leader of the replicated log, which owns the quotas of customers; empty if it is not
+		// known.
+		Leader identifier.HostID `msgpack:"y"`
 	}
 	// ServerWithdrawn reports that a backend server has announced its shutdown.
 	ServerWithdrawn struct {
@@ -259,6 +268,8 @@
 	hostCounts HostCounts
 	// place is the position of this host among the entry hosts.
 	place HostPosition
+	// leader is the leader of the replicated log, as the control host names it.
+	leader identifier.HostID
 	// latestHostCounts are the last counts received, at countedAt.
 	countedAt        identifier.Instant
 	latestHostCounts HostCounts
@@ -276,6 +287,7 @@
 	storedAt           identifier.Instant
 	declaration        *declarer.Declaration
 	routes             *matcher.Matcher
+	customers          *authenticator.Authenticator
 	// assessor detects degraded servers from the measurements of this control host's subscribers,
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
@@ -475,6 +487,7 @@
 	p.position = e.Held
 	p.version = e.Version
 	p.topology = e.Topology
+	s.askForProof(e.Host, e.Asked)
 	if e.Brief {
 		s.sendBrief(e.Host, p, s.allEntryHosts())
 		return
@@ -515,6 +528,8 @@
 		Synchronized: s.control.synchronized,
 		Source:       s.control.replicated.source.sourceAfter(to.version),
 		Lending:      s.lending(len(entryHosts)),
+		Proof:        s.proofFor(id),
+		Leader:       s.quotaLeader(),
 		Place:        hostPosition(id, to.domain, entryHosts),
 	}
 	from := to.position.Revision
@@ -561,6 +576,7 @@
 			continue
 		}
 		delete(s.control.serverList.pollers, id)
+		s.control.prover.Forget(id)
 		s.log(MembershipSubsystem, Info, "host has stopped polling the server list", Field{"host", string(id)})
 	}
 }
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/lagooncleat/lagooncleat/pkg/authenticator"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
@@ -180,6 +181,7 @@
 		Topology:   s.control.serverList.topologies[id],
 		Subscribes: id == s.control.serverList.subscribedTo,
 		Brief:      brief,
+		Asked:      s.proofStamp(),
 	}})
 }
 
@@ -215,9 +217,14 @@
 		changed = (sl.place != e.Place && sl.hasLimits()) || changed
 		sl.place = e.Place
 	}
+	if e.Leader != "" && e.Leader != sl.leader {
+		sl.leader = e.Leader
+		changed = true
+	}
 	if changed {
 		s.publish()
 	}
+	s.receiveProof(e.Proof)
 }
 
 // subscribe chooses the control host that this entry host subscribes to: one that is connected to
@@ -367,6 +374,7 @@
 	}
 	sl.declaration = d
 	sl.routes = matcher.New(d.Routes)
+	sl.customers = authenticator.New(d.Customers)
 	s.control.version = source.Version
 	s.log(ConfigurationSubsystem, Info, "declaration in force", versionField(source.Version))
 	return true
@@ -395,6 +403,8 @@
 		Place:       sl.place,
 		Delegates:   sl.delegates,
 		ControlHost: sl.subscribedTo,
+		Customers:   sl.customers,
+		Leader:      sl.leader,
 	}
 	for i := range sl.declaration.Services {
 		v.Services[sl.declaration.Services[i].ID] = &sl.declaration.Services[i]
@@ -426,6 +436,10 @@
 	Delegates []router.Host
 	// ControlHost is the control host that this host subscribes to; empty while it searches for one.
 	ControlHost identifier.HostID
+	// Customers finds the customer that holds a key; nil counts as no customers.
+	Customers *authenticator.Authenticator
+	// Leader is the leader of the replicated log, which owns the quotas of customers; empty if it is not known.
+	Leader identifier.HostID
 }
 
 // Backend is a backend server that may take work.
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -56,6 +56,10 @@
 	serverListDue struct{}
 	// measurementDue makes traffic send its measurements of the servers to control hosts.
 	measurementDue struct{}
+	// creditDue ends the wait of a request for an allotment.
+	creditDue struct{ request identifier.RequestID }
+	// reportDue reports to the owner of quotas. It is ignored if another timer has superseded it.
+	reportDue struct{ at identifier.Instant }
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
 	// ignored if another timer has superseded it.
 	requestDue struct {
@@ -81,6 +85,8 @@
 func (serverListDue) isTimer()   {}
 func (measurementDue) isTimer()  {}
 func (requestDue) isTimer()      {}
+func (creditDue) isTimer()       {}
+func (reportDue) isTimer()       {}
 
 type scheduledTimer struct {
 	at       identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -64,6 +64,11 @@
 	latenciesByRoute map[declarer.RouteID]*hedger.Hedger
 	// unsentTallies holds the measurements of servers not yet sent to control hosts.
 	unsentTallies map[identifier.ServerID]assessor.Tally
+	// provenUntil is when the declaration stops to count as the newest one.
+	provenUntil identifier.Instant
+	// started is when this host started.
+	started identifier.Instant
+	quotas  quotas
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
@@ -98,6 +103,7 @@
 		splitters:        map[declarer.RouteID]*splitter.Splitter{},
 		latenciesByRoute: map[declarer.RouteID]*hedger.Hedger{},
 		unsentTallies:    map[identifier.ServerID]assessor.Tally{},
+		quotas:           newQuotas(),
 	}
 }
 
