pkg/permitter: keep half of a limit for requests that wait

Change: allotments in advance are granted only while more than half of the maximum level is available.

--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -8,6 +8,10 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
+// waitingPortion is the fraction of the maximum level that is granted only for requests that wait. Without it, many
+// hosts that each hold a request in advance leave nothing for one that needs it now.
+const waitingPortion = 0.5
+
 // roundingTolerance is the allowed rounding error of sums of fractions of a request.
 const roundingTolerance = 1e-6
 
@@ -221,9 +225,10 @@
 		o.record(a, x, r)
 	}
 	available := max(0, math.Floor(a.level-float64(a.reserved)+roundingTolerance))
-	// Half of what is available stays for other holders, unless requests wait.
-	offer := max(min(available, float64(r.Waiting)), math.Ceil(available/2))
-	grant := max(0, min(r.Target-x.unspent(), Requests(offer)))
+	wanted := max(0, r.Target-x.unspent())
+	grant := min(wanted, r.Waiting, Requests(available))
+	spare := available - float64(grant) - waitingPortion*o.tolerance.maximum(a.limit)
+	grant += min(wanted-grant, Requests(max(0, spare)))
 	x.granted += grant
 	a.reserved += grant
 	a.granted += grant
