--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -390,6 +390,9 @@
 			s.removeRequest(q)
 			continue
 		}
+		if q.awaitsCredit {
+			continue
+		}
 		for _, d := range q.delegations {
 			if d.open && d.host == host {
 				s.endDelegation(q, d, false)
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -27,6 +27,10 @@
 // AllotmentInvariant requires that the owner of quotas allots no more than accrues.
 const AllotmentInvariant Invariant = "allotted-as-earned"
 
+// CreditInvariant requires that nothing is sent for a request that waits for an allotment: it may be refused as
+// not run.
+const CreditInvariant Invariant = "admitted-before-sent"
+
 // Counters of quotas, by customer.
 const (
 	CustomerRequestsCounter  Counter = "customer-requests"
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -77,13 +77,18 @@
 }
 
 func newEntryHost(v *reducer.FleetView) *entryHost {
+	return newEntryHostWith(v, entryDuty())
+}
+
+func entryDuty() reducer.EntryDuty {
+	return reducer.EntryDuty{
+		ExtraAttempts: reducer.ExtraAttempts{Share: 0.2, Slack: 30, Window: 10 * identifier.Second}, Detour: 25 * identifier.Millisecond,
+	}
+}
+
+func newEntryHostWith(v *reducer.FleetView, d reducer.EntryDuty) *entryHost {
 	e := &entryHost{outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, wake: identifier.Never, view: v}
-	e.state = reducer.New(reducer.Parameters{
-		Host: "10.0.0.1:70", Domain: domain(0), Strict: true,
-		Duty: reducer.EntryDuty{
-			ExtraAttempts: reducer.ExtraAttempts{Share: 0.2, Slack: 30, Window: 10 * identifier.Second}, Detour: 25 * identifier.Millisecond,
-		},
-	})
+	e.state = reducer.New(reducer.Parameters{Host: "10.0.0.1:70", Domain: domain(0), Strict: true, Duty: d})
 	e.reduce(reducer.Started{Seed: 1})
 	e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 4, Fleet: v}})
 	return e
