pkg/reducer, pkg/permitter: control hosts hold the credits of quotas

Change: control hosts hold allotments and give entry hosts one credit a request; an entry host asks its own, then others of its failure domain. Allotments last three seconds. A new owner starts at 0 and keeps to a lower maximum level for one term, instead of a debt that grows with the rate and the term.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -56,6 +56,9 @@
 	reducer.ServersStated{},
 	reducer.AllotmentsRequested{},
 	reducer.AllotmentsSent{},
+	reducer.CreditRequested{},
+	reducer.CreditReturned{},
+	reducer.CreditAnswered{},
 }
 
 var tags = indexTags()
--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -8,9 +8,9 @@
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
 
-// waitingPortion is the fraction of the maximum level that is granted only for requests that wait. Without it, many
-// hosts that each hold a request in advance leave nothing for one that needs it now.
-const waitingPortion = 0.5
+// waitingPortion is the fraction of the maximum level that is granted only for requests that wait. Without it,
+// hosts that hold requests in advance leave nothing for one that needs it now.
+const waitingPortion = 0.25
 
 // roundingTolerance is the allowed rounding error of sums of fractions of a request.
 const roundingTolerance = 1e-6
@@ -80,9 +80,11 @@
 	// level is how many requests may be sent now, of which reserved are allotted to holders.
 	level    float64
 	filledAt identifier.Instant
+	// fullFrom is when all that was allotted by previous owners has ended.
+	fullFrom identifier.Instant
 	reserved Requests
-	// earned is the sum of the first level and the refills, granted that of the allotments less what was returned.
-	// They check the arithmetic of level and reserved.
+	// earned is the sum of the refills, granted that of the allotments less what was returned. They check the
+	// arithmetic of level and reserved.
 	earned  float64
 	granted Requests
 }
@@ -132,9 +134,8 @@
 		if _, known := o.accounts[id]; known {
 			continue
 		}
-		first := o.tolerance.first(limit)
 		start := max(now, o.began.Add(Overlap))
-		o.accounts[id] = &account{limit: limit, level: first, earned: first, filledAt: start}
+		o.accounts[id] = &account{limit: limit, filledAt: start, fullFrom: start.Add(Term)}
 	}
 }
 
@@ -145,11 +146,19 @@
 	}
 	accrued := a.limit.perSecond() * seconds(now.Since(a.filledAt))
 	a.filledAt = now
-	accrued = max(0, min(accrued, o.tolerance.maximum(a.limit)-a.level))
+	accrued = max(0, min(accrued, o.maximum(now, a)-a.level))
 	a.level += accrued
 	a.earned += accrued
 }
 
+// maximum returns the highest level of an account at an instant.
+func (o *Allotter[A]) maximum(now identifier.Instant, a *account) float64 {
+	if now < a.fullFrom {
+		return o.tolerance.maximumAtFirst(a.limit)
+	}
+	return o.tolerance.maximum(a.limit)
+}
+
 // Handle records a holder's report and returns what it is allotted.
 func (o *Allotter[A]) Handle(now identifier.Instant, holder identifier.HostID, r Report[A]) Answer[A] {
 	o.endLapsed(now)
@@ -246,7 +255,7 @@
 		back := r.Undone - x.undone
 		x.undone = r.Undone
 		a.reserved += back
-		a.level = min(o.tolerance.maximum(a.limit), a.level+float64(back))
+		a.level = min(max(a.level, o.tolerance.maximum(a.limit)), a.level+float64(back))
 	}
 	if spent := min(r.Spent, x.granted+x.undone-x.returned); spent > x.spent {
 		o.spend(a, spent-x.spent)
@@ -297,7 +306,7 @@
 
 // withinEarnings reports whether an account has granted no more than it earned.
 func (a *account) withinEarnings() bool {
-	return float64(a.granted) <= max(0, a.earned)+roundingTolerance*float64(a.granted+1)
+	return float64(a.granted) <= a.earned+roundingTolerance*float64(a.granted+1)
 }
 
 // Held returns how many requests of an account holders may still send, as far as reported.
--- a/pkg/permitter/doc.go
+++ b/pkg/permitter/doc.go
@@ -18,9 +18,9 @@
 // An Allotter keeps a level for each account, which refills at the rate of the limit up to a maximum. Allotments are
 // reserved from it. In any window, what holders spend is at most the level at its start plus the refill. A new
 // owner doesn't know what its predecessor has granted. That is at most the maximum level, and it ends within
-// Term. So the new owner starts at a level that is low enough, 0 or less, and refills only after Overlap, when
-// the previous owner has stopped. The maximum level and the first one share the tolerance of the limit, so the sum
-// stays within it however often the owner changes.
+// Term. So the new owner starts at 0, refills only after Overlap, when the previous owner has stopped, and keeps
+// to a lower maximum level for Term. Both maximums together stay within the burst and the tolerance of the
+// limit, also if the owner changes twice within Term. An election takes at least a fifth of it.
 //
 // # Usage
 //
@@ -28,7 +28,7 @@
 //	owner.SetLimits(now, limits)
 //	holder := permitter.NewHolder[identifier.CustomerID]()
 //	holder.Use(now, "clinic")
-//	if _, ok := holder.Take(now, "clinic"); !ok {
+//	if !holder.Take(now, "clinic") {
 //		answer := owner.Handle(now, "host-1", holder.Report(now, reading))
 //		holder.Receive(now, answer)
 //	}
--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -11,14 +11,14 @@
 const (
 	// coverTime is how much of its recent demand a holder wants to hold, so that requests need not wait for the
 	// owner, and most go on while another one is elected.
-	coverTime = 2 * identifier.Second
+	coverTime = Term
 	// idleTime is the time without requests of an account after which a holder returns what it holds. An account
 	// with one request in ten seconds at this host still finds one.
 	idleTime = 10 * identifier.Second
 	// reportDelay is how long a holder collects what it has spent before it reports it.
 	reportDelay = 100 * identifier.Millisecond
 	// renewInterval is the time between reports that renew what is held.
-	renewInterval = Term / 4
+	renewInterval = Term / 6
 	// answerTimeout is how long a holder waits for an answer before it reports again.
 	answerTimeout = 100 * identifier.Millisecond
 )
@@ -58,12 +58,6 @@
 
 type counters struct{ spent, undone, returned Requests }
 
-// Credit is one request taken from an allotment.
-type Credit[A cmp.Ordered] struct {
-	account A
-	session SessionID
-}
-
 // NewHolder returns a Holder that holds nothing.
 func NewHolder[A cmp.Ordered]() *Holder[A] {
 	return &Holder[A]{shares: map[A]*held{}, answered: true}
@@ -98,32 +92,32 @@
 }
 
 // Take takes a request from the allotment of an account. It returns false if nothing is held.
-func (h *Holder[A]) Take(now identifier.Instant, id A) (Credit[A], bool) {
+func (h *Holder[A]) Take(now identifier.Instant, id A) bool {
 	x, ok := h.shares[id]
 	if !ok {
-		return Credit[A]{}, false
+		return false
 	}
 	h.endLapsed(now)
 	if x.earlier > 0 {
 		x.earlier--
-		return Credit[A]{account: id}, true
+		return true
 	}
 	if x.unspent() <= 0 {
-		return Credit[A]{}, false
+		return false
 	}
 	x.spent++
 	h.noteChange(now)
-	return Credit[A]{id, h.session}, true
+	return true
 }
 
-// Undo gives back a credit whose request did not run.
-func (h *Holder[A]) Undo(now identifier.Instant, c Credit[A]) {
-	x, ok := h.shares[c.account]
-	if !ok || c.session != h.session || c.session == (SessionID{}) || !h.valid.Holds(now) || x.undone >= x.spent {
-		return
+// Undo gives back a request that was taken and did not run. It may have been taken in an earlier session and
+// count in the current one, which lowers what the current one has spent by no more than was spent before.
+func (h *Holder[A]) Undo(now identifier.Instant, id A) {
+	h.endLapsed(now)
+	if x, ok := h.shares[id]; ok && x.undone < x.spent {
+		x.undone++
+		h.noteChange(now)
 	}
-	x.undone++
-	h.noteChange(now)
 }
 
 // Wait changes the number of requests of an account that wait for an allotment.
--- a/pkg/permitter/limit.go
+++ b/pkg/permitter/limit.go
@@ -3,12 +3,17 @@
 import "github.com/lagooncleat/lagooncleat/pkg/identifier"
 
 const (
-	// Term is how long allotments hold after their holder asked: longer than the election of another owner, and
-	// short enough that a new owner's start costs little.
-	Term = 2 * identifier.Second
+	// Term is how long allotments hold after their holder asked: the time for which holders that are cut off go on,
+	// and for which a new owner limits the level.
+	Term = 3 * identifier.Second
 	// Overlap is how long a previous owner may still grant after another one has taken over: the time in which
 	// an acknowledgement that confirmed it may have been on its way.
 	Overlap = 200 * identifier.Millisecond
+	// levelPortion is the fraction of the allowance by which the level may exceed the burst, so that what holders
+	// hold in advance doesn't keep others from using the burst.
+	levelPortion = 0.25
+	// coveredChanges is how often the owner may change within Term.
+	coveredChanges = 2
 )
 
 // Requests is a number of requests.
@@ -34,14 +39,14 @@
 	return (l.perSecond()*seconds(t.Window)+l.Burst)*float64(t.Overage) + t.Slack
 }
 
-// maximum returns the highest level of an account. The other half of the allowance covers a change of the owner.
+// maximum returns the highest level of an account. The rest of the allowance covers changes of the owner.
 func (t Tolerance) maximum(l Limit) float64 {
-	return l.Burst + t.allowance(l)/2
+	return l.Burst + levelPortion*t.allowance(l)
 }
 
-// first returns the level of an account at a new owner, 0 or less.
-func (t Tolerance) first(l Limit) float64 {
-	return min(0, t.allowance(l)/2-l.perSecond()*seconds(Term))
+// maximumAtFirst returns the highest level of an account at an owner in its first Term.
+func (t Tolerance) maximumAtFirst(l Limit) float64 {
+	return min(t.maximum(l), (1-levelPortion)/coveredChanges*t.allowance(l))
 }
 
 func (l Limit) perSecond() float64 { return float64(l.Rate) }
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -37,12 +37,10 @@
 	now := identifier.Instant(10 * identifier.Second)
 	holder := permitter.NewHolder[customer]()
 	holder.Use(now, "clinic")
-	_, ok := holder.Take(now, "clinic")
-	fmt.Println(ok)
+	fmt.Println(holder.Take(now, "clinic"))
 	answer := owner.Handle(now, "host-1", holder.Report(permitter.Reading{Process: 1, At: now}))
 	holder.Receive(now, answer)
-	_, ok = holder.Take(now, "clinic")
-	fmt.Println(ok)
+	fmt.Println(holder.Take(now, "clinic"))
 	// Output:
 	// false
 	// true
@@ -55,11 +53,16 @@
 	limits  map[customer]permitter.Limit
 	owners  []*owner
 	holders []*holder
+	// changes holds when the owner changed.
+	changes []identifier.Instant
 	// inTransit are the messages on their way.
 	inTransit []message
 	// spent holds when requests of each customer were sent, within the window.
 	spent map[customer][]identifier.Instant
 	taken int
+	// calm is set while requests are rare, until phaseEnds.
+	calm      bool
+	phaseEnds identifier.Instant
 }
 
 type owner struct {
@@ -76,7 +79,8 @@
 	keeper *permitter.Holder[customer]
 	// frozenUntil is when the holder's process runs again, by the time.
 	frozenUntil identifier.Instant
-	credits     []permitter.Credit[customer]
+	// undone holds the customers of requests that were taken and did not run.
+	undone []customer
 }
 
 // message is a report to an owner or an answer to a holder.
@@ -104,6 +108,12 @@
 	return c
 }
 
+// mayChangeOwner reports whether the owner has changed at most once within Term, which another change makes two.
+func (c *cluster) mayChangeOwner() bool {
+	n := len(c.changes)
+	return n < 2 || c.now.Since(c.changes[n-2]) > permitter.Term+permitter.Overlap
+}
+
 // changeOwner makes another host the owner. The previous one stops within Overlap.
 func (c *cluster) changeOwner() {
 	if n := len(c.owners); n > 0 {
@@ -115,6 +125,7 @@
 	}
 	o.allotter.SetLimits(c.now, c.limits)
 	c.owners = append(c.owners, o)
+	c.changes = append(c.changes, c.now)
 }
 
 // deliverLater puts a message in transit, late, twice or not at all.
@@ -139,22 +150,29 @@
 // step plays one random event.
 func (c *cluster) step() {
 	c.now = c.now.Add(identifier.Micros(c.random.Int64N(int64(2 * identifier.Millisecond))))
+	if c.now >= c.phaseEnds {
+		c.calm, c.phaseEnds = !c.calm, c.now.Add(identifier.Micros(c.random.Int64N(int64(6*identifier.Second))))
+	}
 	c.deliver()
+	requests := 1500
+	if c.calm {
+		requests = 100
+	}
 	i := c.random.IntN(len(c.holders))
 	h := c.holders[i]
 	switch n := c.random.IntN(4000); {
-	case n == 0:
+	case n < 2 && c.mayChangeOwner():
 		c.changeOwner()
-	case n < 4:
+	case n >= 2 && n < 5:
 		h.frozenUntil = c.now.Add(identifier.Micros(c.random.Int64N(int64(8 * identifier.Second))))
-	case n == 4:
-		h.process, h.keeper, h.credits = h.process+1, permitter.NewHolder[customer](), nil
+	case n == 5:
+		h.process, h.keeper, h.undone = h.process+1, permitter.NewHolder[customer](), nil
 	case h.frozenUntil > c.now:
-	case n < 1500:
+	case n < requests:
 		c.request(h)
-	case n < 1550 && len(h.credits) > 0:
-		h.keeper.Undo(h.clock(c.now), h.credits[0])
-		h.credits = h.credits[1:]
+	case n >= 1500 && n < 1600 && len(h.undone) > 0:
+		h.keeper.Undo(h.clock(c.now), h.undone[0])
+		h.undone = h.undone[1:]
 	case h.keeper.NextReport(h.clock(c.now)) <= h.clock(c.now):
 		r := h.keeper.Report(permitter.Reading{Process: h.process, At: h.clock(c.now)})
 		to := len(c.owners) - 1
@@ -171,13 +189,12 @@
 func (c *cluster) request(h *holder) {
 	id := []customer{"small", "large", "large", "large", "slow"}[c.random.IntN(5)]
 	h.keeper.Use(h.clock(c.now), id)
-	credit, ok := h.keeper.Take(h.clock(c.now), id)
-	if !ok {
+	if !h.keeper.Take(h.clock(c.now), id) {
 		return
 	}
 	if c.random.IntN(20) == 0 {
 		// It turns out not to run.
-		h.keeper.Undo(h.clock(c.now), credit)
+		h.undone = append(h.undone, id)
 		return
 	}
 	c.taken++
@@ -261,7 +278,7 @@
 		o, h, now := start(permitter.Limit{Rate: 2, Burst: 2})
 		for range limitOf(permitter.Limit{Rate: 2, Burst: 2}) {
 			h.Use(now, "a")
-			if _, ok := h.Take(now, "a"); !ok {
+			if !h.Take(now, "a") {
 				h.Wait("a", 1)
 				exchange(o, h, now)
 				h.Wait("a", -1)
@@ -278,9 +295,9 @@
 		h.Use(now, "a")
 		exchange(o, h, now)
 		held := h.Held(now, "a")
-		credit, _ := h.Take(now, "a")
-		h.Undo(now, credit)
-		h.Undo(now, credit)
+		h.Take(now, "a")
+		h.Undo(now, "a")
+		h.Undo(now, "a")
 		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(held))
 	})
 
--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -8,7 +8,6 @@
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/matcher"
-	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -33,7 +32,7 @@
 		{ID: "limited", Keys: []declarer.KeyDigest{declarer.DigestKey("k-limited")}, Rate: 2, Burst: 2},
 	}
 	v.Customers = authenticator.New(v.Declaration.Customers)
-	v.Leader = leader
+	v.ControlHost, v.ControlHosts = leader, []identifier.HostID{"10.0.0.8:70", leader}
 	return v
 }
 
@@ -194,89 +193,103 @@
 })
 
 var _ = ginkgo.Describe("quotas on an entry host", func() {
-	// report returns the last report that the host has sent to the owner.
-	report := func(e *entryHost) (permitter.Report[identifier.CustomerID], bool) {
-		for i := len(e.messages) - 1; i >= 0; i-- {
-			if r, ok := e.messages[i].Event.(reducer.AllotmentsRequested); ok {
-				gomega.Expect(e.messages[i].To).To(gomega.Equal(leader))
-				return r.Report, true
+	const wait = 125 * identifier.Millisecond
+	// asked returns the control hosts that were asked for a credit, in order.
+	asked := func(e *entryHost) []identifier.HostID {
+		var hosts []identifier.HostID
+		for _, m := range e.messages {
+			if _, ok := m.Event.(reducer.CreditRequested); ok {
+				hosts = append(hosts, m.To)
 			}
 		}
-		return permitter.Report[identifier.CustomerID]{}, false
+		return hosts
 	}
-	answer := func(e *entryHost, a permitter.Allotment[identifier.CustomerID]) {
-		r, ok := report(e)
-		gomega.Expect(ok).To(gomega.BeTrue())
-		a.Account = "limited"
-		e.reduce(reducer.AllotmentsSent{Owner: leader, Answer: permitter.Answer[identifier.CustomerID]{
-			Session: permitter.SessionID{Owner: leader, Began: 1}, Asked: r.Asked, Accounts: []permitter.Allotment[identifier.CustomerID]{a},
-		}})
+	grant := func(e *entryHost) { e.reduce(reducer.CreditAnswered{From: leader, Request: "q", Customer: "limited"}) }
+	returned := func(e *entryHost) bool {
+		for _, m := range e.messages {
+			if r, ok := m.Event.(reducer.CreditReturned); ok {
+				gomega.Expect(r.Customer).To(gomega.Equal(identifier.CustomerID("limited")))
+				return true
+			}
+		}
+		return false
 	}
-	const wait = 125 * identifier.Millisecond
 	for _, c := range []struct {
-		name   string
-		steps  func(e *entryHost)
-		sent   int
-		reason reducer.DeclineReason
+		name     string
+		steps    func(e *entryHost)
+		sent     int
+		reason   reducer.DeclineReason
+		returned bool
 	}{
-		{"let a request go on with the owner's answer", func(e *entryHost) {
-			answer(e, permitter.Allotment[identifier.CustomerID]{Granted: 1})
-		}, 1, ""},
+		{"let a request go on with a credit", grant, 1, "", false},
 		{"refuse a request beyond the quota", func(e *entryHost) {
-			answer(e, permitter.Allotment[identifier.CustomerID]{RetryAfter: 400 * identifier.Millisecond})
-		}, 0, reducer.QuotaExceeded},
-		{"don't call a request beyond the quota without an owner", func(e *entryHost) { e.advance(wait) }, 0, reducer.QuotaOwnerMissing},
+			e.reduce(reducer.CreditAnswered{From: leader, Request: "q", RetryAfter: 400 * identifier.Millisecond, Customer: "limited"})
+		}, 0, reducer.QuotaExceeded, false},
+		{"don't call a request beyond the quota without an answer", func(e *entryHost) { e.advance(wait) }, 0, reducer.QuotaOwnerMissing, false},
+		{"ask another control host after a while", func(e *entryHost) {
+			e.advance(wait / 2)
+			gomega.Expect(asked(e)).To(gomega.ContainElements(leader, identifier.HostID("10.0.0.8:70")))
+			grant(e)
+		}, 1, "", false},
+		{"return the second of two credits", func(e *entryHost) {
+			grant(e)
+			grant(e)
+		}, 1, "", true},
+		{"return a credit that arrives too late", func(e *entryHost) {
+			e.advance(wait)
+			grant(e)
+		}, 0, reducer.QuotaOwnerMissing, true},
+		{"return the credit of a request that didn't run", func(e *entryHost) {
+			grant(e)
+			for i := 0; i < len(e.sent); i++ {
+				e.refuse(i, reducer.ExchangeShed)
+			}
+			e.sent = nil
+		}, 0, reducer.ServersRefused, true},
+		{"keep the credit of a request that may have run", func(e *entryHost) {
+			grant(e)
+			e.lose(0)
+			e.advance(archiveTimeout)
+			e.sent = nil
+		}, 0, reducer.RequestTimedOut, false},
 		// A request that was sent while it waited was refused as not run.
 		{"send nothing for a request that waits when the connection to a host ends", func(e *entryHost) {
 			e.reduce(reducer.PeerDisconnected{Host: "10.0.0.3:70"})
-		}, 0, ""},
-		{"follow the owner that another control host names", func(e *entryHost) {
-			e.messages = nil
-			e.reduce(reducer.AllotmentsSent{Owner: "10.0.0.8:70"})
-			e.advance(wait)
-			gomega.Expect(e.messages).To(gomega.ContainElement(gomega.HaveField("To", identifier.HostID("10.0.0.8:70"))))
-		}, 0, reducer.QuotaOwnerMissing},
+		}, 0, "", false},
 	} {
 		ginkgo.It(c.name, func() {
 			e := newKeyedHost()
 			e.prove()
 			e.sendKeyed("q", "/archive/1", "k-limited")
-			e.advance(identifier.Millisecond)
 			gomega.Expect(e.sent).To(gomega.BeEmpty())
+			gomega.Expect(asked(e)).To(gomega.Equal([]identifier.HostID{leader}))
 			c.steps(e)
 			gomega.Expect(e.sent).To(gomega.HaveLen(c.sent))
+			gomega.Expect(returned(e)).To(gomega.Equal(c.returned))
 			if c.reason != "" {
-				gomega.Expect(e.outcomes["q"]).To(gomega.And(gomega.HaveField("Reason", c.reason), gomega.HaveField("Ran", reducer.RanNo)))
+				gomega.Expect(e.outcomes["q"]).To(gomega.HaveField("Reason", c.reason))
 			}
 		})
 	}
 
-	ginkgo.It("take one request of the allotment whatever the attempts, and return that of a request that didn't run", func() {
+	ginkgo.It("refuse at once until there is another credit", func() {
 		e := newKeyedHost()
 		e.prove()
 		e.sendKeyed("q", "/archive/1", "k-limited")
-		e.advance(identifier.Millisecond)
-		answer(e, permitter.Allotment[identifier.CustomerID]{Granted: 2})
-		for i := 0; i < len(e.sent); i++ {
-			e.refuse(i, reducer.ExchangeShed)
-		}
-		gomega.Expect(e.outcomes["q"]).To(gomega.HaveField("Ran", reducer.RanNo))
-		e.advance(identifier.Second)
-		r, _ := report(e)
-		gomega.Expect(r.Accounts).To(gomega.ConsistOf(gomega.And(
-			gomega.HaveField("Spent", permitter.Requests(1)), gomega.HaveField("Undone", permitter.Requests(1)))))
-		sent := len(e.sent)
+		e.reduce(reducer.CreditAnswered{From: leader, Request: "q", RetryAfter: 400 * identifier.Millisecond, Customer: "limited"})
 		e.sendKeyed("q-2", "/archive/1", "k-limited")
-		gomega.Expect(e.sent).To(gomega.HaveLen(sent + 1))
+		gomega.Expect(e.outcomes["q-2"]).To(gomega.HaveField("Reason", reducer.QuotaExceeded))
+		gomega.Expect(asked(e)).To(gomega.HaveLen(1))
+		e.advance(400 * identifier.Millisecond)
+		e.sendKeyed("q-3", "/archive/1", "k-limited")
+		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
 	})
 
 	ginkgo.It("ask nothing for a customer without a limit", func() {
 		e := newKeyedHost()
 		e.prove()
 		e.sendKeyed("q", "/archive/1", "k-plain")
-		e.advance(identifier.Second)
-		_, asked := report(e)
-		gomega.Expect(asked).To(gomega.BeFalse())
+		gomega.Expect(asked(e)).To(gomega.BeEmpty())
 		gomega.Expect(e.sent).NotTo(gomega.BeEmpty())
 	})
 })
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -390,7 +390,7 @@
 			s.removeRequest(q)
 			continue
 		}
-		if q.awaitsCredit {
+		if q.credit == creditAwaited {
 			continue
 		}
 		for _, d := range q.delegations {
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -71,6 +71,8 @@
 		s.handleParts(e)
 	case PartsCancelled:
 		s.cancelDelegated(e)
+	case CreditAnswered:
+		s.receiveCredit(e)
 	}
 }
 
@@ -211,7 +213,7 @@
 // finishOrSchedule finishes a request that is answered or has run out of time or servers.
 // Otherwise it schedules the request's next timer.
 func (s *State) finishOrSchedule(q *request) {
-	if s.traffic.requests[q.Request] != q || q.awaitsCredit {
+	if s.traffic.requests[q.Request] != q || q.credit == creditAwaited {
 		return
 	}
 	if to, ok := q.requester.(*hostRequester); ok {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -72,8 +72,8 @@
 	// those of others on a control host.
 	proof  permitter.Permission
 	prover *permitter.Prover
-	// quotaOwner divides the quotas of customers while this control host leads.
-	quotaOwner *permitter.Allotter[identifier.CustomerID]
+	// credits holds and gives the credits of customers' quotas on a control host.
+	credits creditDesk
 }
 
 type hostLease struct {
@@ -99,6 +99,7 @@
 		clockOffsets: map[identifier.HostID]clockOffset{},
 		serverList:   newServerList(window),
 		prover:       permitter.NewProver(),
+		credits:      newCreditDesk(),
 	}
 }
 
@@ -183,8 +184,14 @@
 		s.handleMeasurements(e)
 	case ServersStated:
 		s.listStatements(e)
+	case CreditRequested:
+		s.giveCredit(e)
+	case CreditReturned:
+		s.takeBackCredit(e)
 	case AllotmentsRequested:
 		s.handleAllotmentRequest(e)
+	case AllotmentsSent:
+		s.receiveAllotments(e)
 	}
 }
 
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -183,7 +183,7 @@
 	if !s.spendAttempt(q, p) {
 		return false
 	}
-	s.require(!q.awaitsCredit, CreditInvariant, q.Payload.ClientRequestID)
+	s.require(q.credit != creditAwaited, CreditInvariant, q.Payload.ClientRequestID)
 	s.require(!s.isClosed(backend), AcceptanceInvariant, string(backend.Server))
 	if limit := s.activity(backend.Server).said.pacer; limit != nil {
 		s.require(limit.Take(s.now, limitReserve(q.rank)), LimitInvariant, string(backend.Server))
--- a/pkg/reducer/proof.go
+++ b/pkg/reducer/proof.go
@@ -100,13 +100,3 @@
 	}
 	return s.stamp()
 }
-
-// quotaLeader returns the leader of the replicated log if it owns quotas; empty if it is not known.
-func (s *State) quotaLeader() identifier.HostID {
-	d, ok := s.parameters.Duty.(ControlDuty)
-	if !ok || d.Quotas.Window == 0 {
-		return ""
-	}
-	leader, _ := s.leader()
-	return leader
-}
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -94,7 +94,6 @@
 	switch e := event.(type) {
 	case Started:
 		s.random = rand.New(rand.NewPCG(e.Seed, 0))
-		s.traffic.started = s.now
 		s.control.operations.lastNumber = OperationNumber(e.Seed)
 	case Woken:
 		s.wakeAt = identifier.Never
@@ -119,8 +118,6 @@
 		s.traffic.credit.updateLending(e.Lending)
 	case ProofRenewed:
 		s.traffic.provenUntil = max(s.traffic.provenUntil, e.Until)
-	case AllotmentsSent:
-		s.receiveAllotments(e)
 	case QueuesEstimated:
 		s.receiveEstimates(e.Servers)
 	}
@@ -164,7 +161,7 @@
 	case measurementDue:
 		s.sendMeasurements()
 	case creditDue:
-		s.endCreditWait(t.request)
+		s.handleCreditTimer(t.request)
 	case reportDue:
 		s.handleReportTimer(t)
 	}
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -4,7 +4,6 @@
 	"github.com/lagooncleat/lagooncleat/pkg/aimer"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
-	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 )
 
 // RequestSubsystem is the log subsystem of clients' requests.
@@ -240,7 +239,7 @@
 	UnknownKey DeclineReason = "unknown-key"
 	// QuotaExceeded requests are beyond their customer's quota.
 	QuotaExceeded DeclineReason = "quota-exceeded"
-	// QuotaOwnerMissing requests waited for an allotment in vain.
+	// QuotaOwnerMissing requests waited for a credit in vain.
 	QuotaOwnerMissing DeclineReason = "quota-owner-missing"
 	// DeclarationUnproven requests need a proof that the declaration is the newest one, which the host doesn't
 	// have.
@@ -266,11 +265,13 @@
 	rank      identifier.Rank
 	// customer is who sent the request; nil if no key was needed.
 	customer *declarer.Customer
-	// credit is what the request has taken from its customer's allotment. awaitsCredit is set while it waits for
-	// one; nothing is sent meanwhile.
-	credit       permitter.Credit[identifier.CustomerID]
-	awaitsCredit bool
-	arrival      identifier.Instant
+	// credit is what the request has of its customer's quota, creditFrom the control host that gave it,
+	// creditDeadline until when the request waits for one, and creditTries how often it has asked.
+	credit         creditState
+	creditFrom     identifier.HostID
+	creditDeadline identifier.Instant
+	creditTries    int
+	arrival        identifier.Instant
 	// started is when the client began the request, and lateFrom when an answer misses the target
 	// latency.
 	started, lateFrom identifier.Instant
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -158,9 +158,6 @@
 		Brief bool `msgpack:"b"`
 		// Proof proves which declaration was the newest one when the receiver asked earlier.
 		Proof DeclarationProof `msgpack:"o"`
-		// Leader is the leader of the replicated log, which owns the quotas of customers; empty if it is not
-		// known.
-		Leader identifier.HostID `msgpack:"y"`
 	}
 	// ServerWithdrawn reports that a backend server has announced its shutdown.
 	ServerWithdrawn struct {
@@ -268,8 +265,6 @@
 	hostCounts HostCounts
 	// place is the position of this host among the entry hosts.
 	place HostPosition
-	// leader is the leader of the replicated log, as the control host names it.
-	leader identifier.HostID
 	// latestHostCounts are the last counts received, at countedAt.
 	countedAt        identifier.Instant
 	latestHostCounts HostCounts
@@ -529,7 +524,6 @@
 		Source:       s.control.replicated.source.sourceAfter(to.version),
 		Lending:      s.lending(len(entryHosts)),
 		Proof:        s.proofFor(id),
-		Leader:       s.quotaLeader(),
 		Place:        hostPosition(id, to.domain, entryHosts),
 	}
 	from := to.position.Revision
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -289,9 +289,6 @@
 	if _, ok := s.parameters.Duty.(EntryDuty); ok {
 		s.traffic.view = v
 		s.applyFleet(v.Fleet)
-		if v.Fleet != nil {
-			s.setQuotaOwner(v.Fleet.Leader)
-		}
 		return
 	}
 	s.updateOwnerships(s.traffic.view, v)
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -217,10 +217,6 @@
 		changed = (sl.place != e.Place && sl.hasLimits()) || changed
 		sl.place = e.Place
 	}
-	if e.Leader != "" && e.Leader != sl.leader {
-		sl.leader = e.Leader
-		changed = true
-	}
 	if changed {
 		s.publish()
 	}
@@ -395,16 +391,16 @@
 		return nil
 	}
 	v := &FleetView{
-		Declaration: sl.declaration,
-		Routes:      sl.routes,
-		Services:    map[identifier.ServiceID]*declarer.Service{},
-		Backends:    map[identifier.ServiceID][]Backend{},
-		HostCounts:  sl.hostCounts,
-		Place:       sl.place,
-		Delegates:   sl.delegates,
-		ControlHost: sl.subscribedTo,
-		Customers:   sl.customers,
-		Leader:      sl.leader,
+		Declaration:  sl.declaration,
+		Routes:       sl.routes,
+		Services:     map[identifier.ServiceID]*declarer.Service{},
+		Backends:     map[identifier.ServiceID][]Backend{},
+		HostCounts:   sl.hostCounts,
+		Place:        sl.place,
+		Delegates:    sl.delegates,
+		ControlHost:  sl.subscribedTo,
+		Customers:    sl.customers,
+		ControlHosts: s.controlHostsByDistance(),
 	}
 	for i := range sl.declaration.Services {
 		v.Services[sl.declaration.Services[i].ID] = &sl.declaration.Services[i]
@@ -422,6 +418,19 @@
 	return v
 }
 
+// controlHostsByDistance returns the known control hosts, those of the local failure domain first.
+func (s *State) controlHostsByDistance() []identifier.HostID {
+	var local, remote []identifier.HostID
+	for _, h := range s.otherControlHosts() {
+		if h.Domain == s.parameters.Domain {
+			local = append(local, h.ID)
+			continue
+		}
+		remote = append(remote, h.ID)
+	}
+	return append(local, remote...)
+}
+
 // FleetView is the view of the declaration in force and the backend servers that may take work,
 // for the traffic states to read. It is immutable once published.
 type FleetView struct {
@@ -438,8 +447,8 @@
 	ControlHost identifier.HostID
 	// Customers finds the customer that holds a key; nil counts as no customers.
 	Customers *authenticator.Authenticator
-	// Leader is the leader of the replicated log, which owns the quotas of customers; empty if it is not known.
-	Leader identifier.HostID
+	// ControlHosts are the known control hosts, those of the local failure domain first.
+	ControlHosts []identifier.HostID
 }
 
 // Backend is a backend server that may take work.
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -56,7 +56,7 @@
 	serverListDue struct{}
 	// measurementDue makes traffic send its measurements of the servers to control hosts.
 	measurementDue struct{}
-	// creditDue ends the wait of a request for an allotment.
+	// creditDue asks again for the credit of a request, or refuses the request.
 	creditDue struct{ request identifier.RequestID }
 	// reportDue reports to the owner of quotas. It is ignored if another timer has superseded it.
 	reportDue struct{ at identifier.Instant }
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -66,9 +66,8 @@
 	unsentTallies map[identifier.ServerID]assessor.Tally
 	// provenUntil is when the declaration stops to count as the newest one.
 	provenUntil identifier.Instant
-	// started is when this host started.
-	started identifier.Instant
-	quotas  quotas
+	// deniedUntil holds, for each customer that was denied a credit, when there is another one.
+	deniedUntil map[identifier.CustomerID]identifier.Instant
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
@@ -103,7 +102,7 @@
 		splitters:        map[declarer.RouteID]*splitter.Splitter{},
 		latenciesByRoute: map[declarer.RouteID]*hedger.Hedger{},
 		unsentTallies:    map[identifier.ServerID]assessor.Tally{},
-		quotas:           newQuotas(),
+		deniedUntil:      map[identifier.CustomerID]identifier.Instant{},
 	}
 }
 
