--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -21,17 +21,28 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
+const (
+	// maxCustomers limits the customers that have counters of their own, so that metrics stay small with
+	// thousands of customers.
+	maxCustomers = 256
+	// otherCustomers is the label of the customers beyond them.
+	otherCustomers identifier.CustomerID = "(other)"
+)
+
 // Meter holds the metrics of one host. It is safe for concurrent use.
 type Meter struct {
 	set           *metrics.Set
 	mutex         sync.RWMutex
 	counters      map[reducer.Count]*metrics.Counter
+	customers     map[identifier.CustomerID]bool
 	serviceLevels lockedTracker
 }
 
 // New returns an empty Meter.
 func New() *Meter {
-	return &Meter{set: metrics.NewSet(), counters: map[reducer.Count]*metrics.Counter{}}
+	return &Meter{
+		set: metrics.NewSet(), counters: map[reducer.Count]*metrics.Counter{}, customers: map[identifier.CustomerID]bool{},
+	}
 }
 
 // Count increments the counter of the customer and rank.
@@ -49,10 +60,20 @@
 func (m *Meter) addCounter(c reducer.Count) *metrics.Counter {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	customer := c.Customer
+	if !m.customers[customer] {
+		if len(m.customers) >= maxCustomers {
+			customer = otherCustomers
+		} else {
+			m.customers[customer] = true
+		}
+	}
 	name := strings.ReplaceAll(string(c.Counter), "-", "_")
 	counter := m.set.GetOrCreateCounter(fmt.Sprintf(
-		"lagooncleat_%s_total{customer=%q,rank=%q}", name, c.Customer, c.Rank))
-	m.counters[c] = counter
+		"lagooncleat_%s_total{customer=%q,rank=%q}", name, customer, c.Rank))
+	if customer == c.Customer {
+		m.counters[c] = counter
+	}
 	return counter
 }
 
