pkg/reducer: count unreported loans against the credit of extra attempts

A message from a control host made room for further loans although it had not yet counted those that the host had not reported.

--- a/pkg/reducer/extraattempt.go
+++ b/pkg/reducer/extraattempt.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"math"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -59,8 +60,8 @@
 type credit struct {
 	open      bool
 	exhausted map[identifier.ServiceID]bool
-	// used counts the attempts borrowed since the control host's last message, and unreported
-	// those not yet reported to it.
+	// used counts the attempts borrowed since the control host's last message or not yet reported to
+	// it; unreported counts the latter.
 	used, unreported map[identifier.ServiceID]int
 }
 
@@ -79,7 +80,9 @@
 	for _, id := range l.Exhausted {
 		c.exhausted[id] = true
 	}
+	// The control host has not counted what is unreported: a message must not make room for more of it.
 	clear(c.used)
+	maps.Copy(c.used, c.unreported)
 }
 
 // borrow takes an extra attempt from what is lent, if the host's limit allows one more.
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -75,13 +75,14 @@
 	return identifier.Address(fmt.Sprintf("10.0.%d.1:80", i))
 }
 
-// parseDeclaration parses a text that holds a version and the names of the shards' services,
-// separated by commas.
+// parseDeclaration parses a text that holds a version, the names of the shards' services, separated by
+// commas, and optionally the minimum coverage, which is 1 by default.
 func parseDeclaration(text []byte) (*declarer.Declaration, error) {
 	var d declarer.Declaration
 	var services string
-	if _, err := fmt.Sscanf(string(text), "%d %s", &d.Version, &services); err != nil {
-		return nil, errors.New("not a declaration")
+	coverage := 1.0
+	if n, err := fmt.Sscanf(string(text), "%d %s %g", &d.Version, &services, &coverage); n < 2 {
+		return nil, errors.Join(errors.New("not a declaration"), err)
 	}
 	var shards []identifier.ServiceID
 	for service := range strings.SplitSeq(services, ",") {
@@ -91,7 +92,7 @@
 	d.Routes = []declarer.Route{{
 		ID: "search", Hostname: "a.example", PathPrefix: "/", Repeatable: true, Timeout: identifier.Second,
 		TargetLatency: 100 * identifier.Millisecond, MaxAttempts: 2, Shards: shards,
-		TopK: 2, MinCoverage: 1,
+		TopK: 2, MinCoverage: identifier.Ratio(coverage),
 	}}
 	return &d, nil
 }
