pkg/chooser: weigh the ratio of attempts that a server rejects

A server that rejects half of its attempts cost no more than a sound one, since only answers were measured. Its ratio now adds to the cost: a sound server with a detour of 25 ms is better than one without that rejects over a quarter. While a candidate rejects, a server counts as cold only if it says so: otherwise remote servers, to which hosts send few attempts, stayed four times as costly. Without rejections nothing changes.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -7,8 +7,9 @@
 //
 // The attempts ahead are this state's attempts in flight on the server that go before
 // the new one. Attempts of less urgent ranks don't count, because the owner lets the new
-// one overtake them. Three conditions raise the cost: higher latency than other servers
-// of the same service, a cold start, and failures, after which the server is backed off
+// one overtake them. Four conditions raise the cost: higher latency than other servers
+// of the same service, a cold start, the ratio of attempts that the server rejects by the
+// measurements of all hosts, and failures, after which the server is backed off
 // for a time that doubles each time. A server that is slow or fails gets single probes,
 // which detect its recovery. A cold server gets a tenth of its share at first, and all of
 // it once it has served some attempts. Servers of nearly equal cost share the work at
@@ -26,6 +27,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -47,6 +49,10 @@
 	// tieMargin is the difference up to which costs count as equal, as a share of the
 	// service time.
 	tieMargin = 0.15
+	// rejectionCost is the cost of a rejected attempt: it delays the answer by less, but takes an
+	// extra attempt from a scarce budget. With it, a sound server with a detour of 25 ms is better than one
+	// without that rejects over a quarter of its attempts.
+	rejectionCost = 100 * identifier.Millisecond
 )
 
 // Candidate is a server that may run the attempt.
@@ -61,6 +67,8 @@
 	Slots identifier.Slots
 	// Detour is added to the cost of a server in a remote failure domain, in microseconds.
 	Detour identifier.Micros
+	// Rejection is the ratio of attempts that all hosts together measure the server to reject.
+	Rejection identifier.Ratio
 }
 
 // Chooser holds the measurements of one state. It is not safe for concurrent use.
@@ -154,7 +162,7 @@
 	best := math.Inf(1)
 	for i := range candidates {
 		cost := c.cost(now, &candidates[i], base)
-		if cold := c.coldness(&candidates[i]) - base.minColdness; cold > 0 && random(drawOutcomes) < int(cold*coldDrawShare*drawOutcomes) {
+		if cold := c.coldness(&candidates[i], base) - base.minColdness; cold > 0 && random(drawOutcomes) < int(cold*coldDrawShare*drawOutcomes) {
 			cost *= coldCostFactor
 		}
 		c.costs = append(c.costs, cost)
@@ -179,12 +187,14 @@
 	minEstimate float64
 	minLatency  identifier.Micros
 	minColdness float64
+	// rejecting is set if a candidate rejects attempts.
+	rejecting bool
 }
 
 // computeBaseline returns the minima that the candidates are compared with. It discards
 // the measurements of a server's previous incarnation.
 func (c *Chooser) computeBaseline(now identifier.Instant, candidates []Candidate) baseline {
-	base := baseline{minColdness: 1}
+	base := baseline{minColdness: 1, rejecting: slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Rejection > 0 })}
 	for i := range candidates {
 		r := c.record(candidates[i].Server)
 		if r.incarnation != candidates[i].Incarnation {
@@ -196,18 +206,22 @@
 		if latency := r.recentMinLatency(now); latency > 0 && (base.minLatency == 0 || latency < base.minLatency) {
 			base.minLatency = latency
 		}
-		base.minColdness = min(base.minColdness, c.coldness(&candidates[i]))
+		base.minColdness = min(base.minColdness, c.coldness(&candidates[i], base))
 	}
 	base.minEstimate = max(1, base.minEstimate)
 	return base
 }
 
 // coldness returns 1 for a server that reports that it is starting, or else the fraction of its
-// first warmUpAttempts attempts that it has yet to serve.
-func (c *Chooser) coldness(candidate *Candidate) float64 {
+// first warmUpAttempts attempts that it has yet to serve. That fraction doesn't count while another
+// candidate rejects attempts: a sound remote server is new to this host, but not cold.
+func (c *Chooser) coldness(candidate *Candidate, base baseline) float64 {
 	if candidate.Starting {
 		return 1
 	}
+	if base.rejecting {
+		return 0
+	}
 	return c.records[candidate.Server].coldness()
 }
 
@@ -219,7 +233,7 @@
 	r := c.records[candidate.Server]
 	slowness := r.slowness(now, base.minEstimate)
 	cost := base.minEstimate * max(1, slowness/slownessTolerance) * (1 + float64(r.ahead(candidate.Rank))/float64(max(1, candidate.Slots)))
-	cost += float64(candidate.Detour)
+	cost += float64(candidate.Detour) + float64(candidate.Rejection)*float64(rejectionCost)
 	if latency := r.recentMinLatency(now); latency > 0 {
 		cost += float64(latency - base.minLatency)
 	}
--- a/pkg/chooser/local_server_test.go
+++ b/pkg/chooser/local_server_test.go
@@ -76,4 +76,27 @@
 		}
 		gomega.Expect(choose(now)).To(gomega.Equal(identifier.ServerID("local")))
 	})
+
+	for _, c := range []struct {
+		name string
+		// local and remote are the ratios of attempts that each server rejects.
+		local, remote identifier.Ratio
+		chosen        identifier.ServerID
+	}{
+		{"is chosen while it rejects few attempts", 0.1, 0, "local"},
+		{"is not chosen while it rejects half of them and a remote one is sound", 0.5, 0, "remote"},
+		{"is chosen while the remote one rejects as many", 0.5, 0.5, "local"},
+		{"is chosen while the remote one rejects nearly as many", 0.6, 0.45, "local"},
+	} {
+		ginkgo.It(c.name, func() {
+			x := chooser.New()
+			for range 30 {
+				x.RecordLatency(0, "local", typical)
+			}
+			id, _ := x.Choose(0, []chooser.Candidate{
+				{Server: "local", Slots: 3, Rejection: c.local}, {Server: "remote", Slots: 3, Detour: 25 * ms, Rejection: c.remote},
+			}, func(int) int { return 0 })
+			gomega.Expect(id).To(gomega.Equal(c.chosen))
+		})
+	}
 })
