pkg/assessor, pkg/reducer: measure, share and list rejections by servers

A host sends a server less than one attempt a second, so that what it knows of rejections is old, and rejections were not reported. Entry hosts now report what servers that reject have rejected and accepted, control hosts relay that to each other every 100 ms and list the ratio, and first attempts avoid these servers; one piece in ten probes them. Without rejections no message is sent and none grows.

--- a/pkg/assessor/assessor.go
+++ b/pkg/assessor/assessor.go
@@ -7,10 +7,16 @@
 // server as degraded. A degraded server gets only probes. It recovers after a number of
 // consecutive good answers to them.
 //
+// Rejections estimates the ratio of attempts that a server rejects without running them, while
+// its other answers are good. It changes within a second, and ends soon after the server stops
+// rejecting.
+//
 // # Usage
 //
 //	a := assessor.New()
 //	degraded, changed := a.Add(now, "s-1", assessor.Tally{Answers: 8, Poor: 5})
+//	r := assessor.NewRejections()
+//	ratio, changed := r.Add(now, "s-1", assessor.Tally{Accepted: 4, Rejected: 5})
 package assessor
 
 import (
@@ -53,6 +59,11 @@
 	Answers int `msgpack:"a"`
 	Poor    int `msgpack:"p"`
 	Failed  int `msgpack:"f"`
+	// Rejected counts the attempts that the server rejected without running them; Answers doesn't include
+	// them. Accepted counts those that it accepted meanwhile, of all routes and domains; it is set only
+	// for servers that reject.
+	Rejected int `msgpack:"r"`
+	Accepted int `msgpack:"c"`
 }
 
 // Assessor holds the combined measurements of servers. It is not safe for concurrent use.
--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -32,6 +32,8 @@
 	Servers []Measurement     `msgpack:"s"`
 	// Borrowed are the extra attempts that the host has borrowed since its last report.
 	Borrowed []Borrowed `msgpack:"b"`
+	// Relayed is set by a control host that relays what its subscribers measured of servers that reject.
+	Relayed bool `msgpack:"y"`
 }
 
 // Measurement is the tally of one server.
@@ -44,9 +46,12 @@
 // degraded servers or lending.
 func (s *State) handleMeasurements(e ServersMeasured) {
 	changed := s.lend(e.Borrowed)
+	changed = s.recordRejections(e) || changed
 	tallies := make([]assessor.Tally, 0, len(e.Servers))
 	for _, m := range e.Servers {
-		tallies = append(tallies, m.Tally)
+		if m.Tally.Answers > 0 {
+			tallies = append(tallies, m.Tally)
+		}
 	}
 	if assessor.IndicatesHostFault(tallies) {
 		s.log(MembershipSubsystem, Debug, "measurements ignored: most servers look poor to one host", Field{"host", string(e.From)})
@@ -65,7 +70,7 @@
 	before := sl.revision
 	for _, m := range e.Servers {
 		server, ok := sl.servers[m.Server]
-		if !ok || server.Standing == Left || server.Standing == Displaced {
+		if !ok || server.Standing == Left || server.Standing == Displaced || m.Tally.Answers == 0 {
 			continue
 		}
 		degraded, changed := sl.assessor.Add(s.now, m.Server, m.Tally)
@@ -150,6 +155,7 @@
 // sendMeasurements sends a report to the control host that this host subscribes to.
 func (s *State) sendMeasurements() {
 	report := ServersMeasured{From: s.parameters.Host}
+	s.addArrivals()
 	for _, id := range sortedKeys(s.traffic.unsentTallies) {
 		report.Servers = append(report.Servers, Measurement{Server: id, Tally: s.traffic.unsentTallies[id]})
 	}
@@ -170,6 +176,9 @@
 	if slices.ContainsFunc(s.traffic.view.Fleet.Backends[id], func(b Backend) bool { return b.Degraded }) {
 		p.mayProbe = s.random.IntN(probeDivisor) == 0
 	}
+	if s.hasRejection(id) {
+		p.probesRejection = s.random.IntN(rejectionProbeDivisor) == 0
+	}
 	return p
 }
 
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -292,6 +292,7 @@
 			Rank:        q.rank,
 			Slots:       b.Slots,
 			Detour:      detour,
+			Rejection:   p.rejectionOf(b),
 		})
 	}
 	s.traffic.candidates = candidates
@@ -422,6 +423,7 @@
 		return
 	}
 	latency := s.now.Since(a.sent)
+	s.recordAccepted(a)
 	s.activity(a.server).lastAnswer = s.now
 	s.activity(a.server).unreachable = 0
 	s.recordStatement(a, e.Statement)
@@ -492,7 +494,9 @@
 	if e.Reason == ExchangeShed {
 		s.recordStatement(a, e.Statement)
 	}
-	s.recordFailure(a)
+	if e.Reason != ExchangeShed || !s.recordRejected(a) {
+		s.recordFailure(a)
+	}
 	if q == nil {
 		return
 	}
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -158,6 +158,8 @@
 		s.handleRequestTimer(t)
 	case measurementDue:
 		s.sendMeasurements()
+	case rejectionRelayDue:
+		s.relayRejections()
 	}
 }
 
--- a/pkg/reducer/rejection_test.go
+++ b/pkg/reducer/rejection_test.go
@@ -8,23 +8,25 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/lagooncleat/lagooncleat/pkg/assessor"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// The played load is that of 60 entry hosts and a slack of 200 extra attempts, scaled to the slack of the
-// small fleet: each host has the same share of the slack and of the requests.
 const (
-	rejectingEntryHosts = 18
+	rejectingEntryHosts = 60
 	rejectingShards     = 36
 	// rejectingInterval is the mean interval of the requests: 1.9 a second for each host.
-	rejectingInterval = 29 * identifier.Millisecond
+	rejectingInterval = identifier.Micros(8700)
 	remoteRoundTrip   = 4 * identifier.Millisecond
 	incidentDuration  = 9 * identifier.Second
 )
 
+// rejectingLimits limits the extra attempts of the fleet.
+var rejectingLimits = reducer.ExtraAttempts{Share: 0.2, Slack: 214, Window: 10 * identifier.Second}
+
 // rejectingFleet is a fleet in which a part of the servers rejects some attempts.
 type rejectingFleet struct {
 	*smallFleet
@@ -47,12 +49,18 @@
 		first: map[string]bool{}, firsts: map[identifier.ServiceID][]identifier.Instant{}, extras: map[identifier.ServiceID][]identifier.Instant{},
 	}
 	seeds := []identifier.HostID{controlName(0), controlName(1), controlName(2)}
+	for i := range 3 {
+		d := r.hosts[controlName(i)].parameters.Duty.(reducer.ControlDuty)
+		d.ExtraAttempts = rejectingLimits
+		r.hosts[controlName(i)].parameters.Duty = d
+		r.start(controlName(i))
+	}
 	for i := 3; i < rejectingEntryHosts; i++ {
 		r.addHost(entryName(i), i, reducer.EntryDuty{Seeds: seeds})
 	}
 	for i := range rejectingEntryHosts {
 		h := r.hosts[entryName(i)]
-		h.parameters.Duty = reducer.EntryDuty{Seeds: seeds, ExtraAttempts: extraAttemptLimits, Detour: 25 * identifier.Millisecond}
+		h.parameters.Duty = reducer.EntryDuty{Seeds: seeds, ExtraAttempts: rejectingLimits, Detour: 25 * identifier.Millisecond}
 		r.start(entryName(i))
 	}
 	var services []string
@@ -155,7 +163,7 @@
 	used := 0.0
 	for service, extras := range r.extras {
 		for _, at := range extras {
-			limit := float64(extraAttemptLimits.Share)*float64(countInWindow(r.firsts[service], at)) + float64(extraAttemptLimits.Slack)
+			limit := float64(rejectingLimits.Share)*float64(countInWindow(r.firsts[service], at)) + float64(rejectingLimits.Slack)
 			count := float64(countInWindow(extras, at))
 			gomega.Expect(count).To(gomega.BeNumerically("<=", limit), "%s at %d us", service, at)
 			used = max(used, count/limit)
@@ -195,11 +203,93 @@
 				}
 				remote, messages, extras := r.remote, r.messages, r.extraCount()
 				counts := r.load(incidentDuration)
-				fmt.Fprintln(ginkgo.GinkgoWriter, phase, counts, "remote", r.remote-remote, "messages", r.messages-messages, "extra", r.extraCount()-extras, "used", r.expectWithinLimit())
+				fmt.Fprintln(ginkgo.GinkgoWriter, phase, counts, c.share, c.coverage, "remote", r.remote-remote, "messages", r.messages-messages, "extra", r.extraCount()-extras, "used", r.expectWithinLimit())
 				if phase == "incident" {
-					gomega.Expect(float64(counts["whole"])/float64(counts["sent"])).To(gomega.BeNumerically(">=", c.minWhole))
+					gomega.Expect(float64(counts["whole"]) / float64(counts["sent"])).To(gomega.BeNumerically(">=", c.minWhole))
 				}
 			}
 		})
 	}
 })
+
+var _ = ginkgo.Describe("a rejection", func() {
+	newHost := func(change func(*reducer.FleetView)) *entryHost {
+		v := entryFleetView()
+		v.ControlHost = controlName(0)
+		change(v)
+		e := newEntryHost(v)
+		e.sendRequest("q", "/search/1")
+		return e
+	}
+	listed := func(v *reducer.FleetView) { v.Backends["shard-0"][1].Rejection = 0.5 }
+	for _, c := range []struct {
+		name   string
+		change func(*reducer.FleetView)
+		steps  func(e *entryHost)
+		// rejected and accepted are the reported attempts of all servers.
+		rejected, accepted int
+	}{
+		{"is reported", func(*reducer.FleetView) {}, func(e *entryHost) { e.refuse(0, reducer.ExchangeShed) }, 1, 0},
+		{"of a remote server is reported, and what a listed one accepts", listed, func(e *entryHost) {
+			e.refuse(0, reducer.ExchangeShed)
+			e.refuse(shardCount, reducer.ExchangeShed)
+			e.answer(shardCount + 1)
+		}, 2, 1},
+		{"is not reported for a server that is unreachable", func(*reducer.FleetView) {}, func(e *entryHost) { e.refuse(0, reducer.ExchangeUnreachable) }, 0, 0},
+	} {
+		ginkgo.It(c.name, func() {
+			e := newHost(c.change)
+			c.steps(e)
+			e.advance(2 * reducer.MeasurementInterval)
+			rejected, accepted := 0, 0
+			for _, m := range e.messages {
+				for _, x := range m.Event.(reducer.ServersMeasured).Servers {
+					rejected += x.Tally.Rejected
+					accepted += x.Tally.Accepted
+				}
+			}
+			gomega.Expect([]int{rejected, accepted}).To(gomega.Equal([]int{c.rejected, c.accepted}))
+		})
+	}
+
+	measured := func(rejected, accepted int) reducer.ServersMeasured {
+		return reducer.ServersMeasured{From: entryName(1), Servers: []reducer.Measurement{
+			{Server: "s-1", Tally: assessor.Tally{Rejected: rejected, Accepted: accepted}},
+		}}
+	}
+	for _, c := range []struct {
+		name  string
+		steps func(f *smallFleet)
+		ratio identifier.Ratio
+	}{
+		{"is listed by all control hosts", func(f *smallFleet) { f.reduce(controlName(1), measured(5, 5)) }, 0.5},
+		{"is listed until the server accepts attempts", func(f *smallFleet) {
+			f.reduce(controlName(1), measured(5, 5))
+			f.run(identifier.Second)
+			f.reduce(controlName(1), measured(0, 8))
+		}, 0},
+		{"is listed no longer without measurements", func(f *smallFleet) {
+			f.reduce(controlName(1), measured(5, 5))
+			f.run(3 * identifier.Second)
+		}, 0},
+		{"is listed no longer when the server restarts", func(f *smallFleet) {
+			f.reduce(controlName(1), measured(5, 5))
+			f.run(200 * identifier.Millisecond)
+			for i := range 3 {
+				f.announce(i, announcement("s-1", 2, 1))
+			}
+		}, 0},
+	} {
+		ginkgo.It(c.name, func() {
+			f := newSmallFleet()
+			f.declare(0, declarationSource(1, "desk"))
+			f.announce(1, announcement("s-1", 1, 1))
+			f.run(identifier.Second)
+			c.steps(f)
+			f.run(300 * identifier.Millisecond)
+			for i := range 3 {
+				gomega.Expect(f.hosts[entryName(i)].view.Fleet.Backends["desk"][0].Rejection).To(gomega.Equal(c.ratio))
+			}
+		})
+	}
+})
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -297,6 +297,8 @@
 	acceptedFrom identifier.Instant
 	// mayProbe is set when the piece may be sent to a degraded server.
 	mayProbe bool
+	// probesRejection is set when the piece disregards which servers reject attempts.
+	probesRejection bool
 }
 
 // requestAttempt is one attempt of a request. It is kept until its exchange ends, which may be
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -98,6 +98,9 @@
 	Degraded bool `msgpack:"d"`
 	// Stated is what the server says of itself in its answers to any host.
 	Stated ServerStatement `msgpack:"t"`
+	// Rejection is the ratio of attempts that the server rejects as all entry hosts measure it, 0 if it
+	// doesn't.
+	Rejection identifier.Ratio `msgpack:"j"`
 	// changed is when the status or what routing depends on last changed, by the clock of the
 	// host that keeps the list.
 	changed identifier.Instant
@@ -280,6 +283,10 @@
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
 	lender   *lender.Lender
+	// rejections estimates the ratios of attempts that servers reject from the measurements of all entry
+	// hosts; unrelayed are those not yet relayed to the other control hosts.
+	rejections *assessor.Rejections
+	unrelayed  map[identifier.ServerID]assessor.Tally
 }
 
 type controlHost struct {
@@ -301,6 +308,8 @@
 		controlHosts:          map[identifier.HostID]controlHost{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
+		rejections:            assessor.NewRejections(),
+		unrelayed:             map[identifier.ServerID]assessor.Tally{},
 		lender:                lender.New(window),
 	}
 }
@@ -319,9 +328,10 @@
 	sl.revision++
 	listed := &ListedServer{Announcement: a, Standing: status, Revision: sl.revision, changed: now}
 	if ok && previous.Announcement.Incarnation == a.Incarnation {
-		listed.Degraded, listed.Stated = previous.Degraded, previous.Stated
+		listed.Degraded, listed.Stated, listed.Rejection = previous.Degraded, previous.Stated, previous.Rejection
 	} else {
 		sl.assessor.Remove(a.Server)
+		sl.rejections.Remove(a.Server)
 	}
 	sl.servers[a.Server] = listed
 	if status != Left && status != Displaced {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -71,6 +71,7 @@
 		}
 		s.publishControlStatus()
 		s.sendSubscribers()
+		s.expireRejections()
 		s.storeServerList()
 		return
 	}
@@ -334,11 +335,11 @@
 func (s *State) updateReported(from identifier.HostID, l ListedServer) bool {
 	known, ok := s.control.serverList.servers[l.Announcement.Server]
 	if !ok || from != s.control.serverList.subscribedTo ||
-		(known.Degraded == l.Degraded && known.Stated == l.Stated) ||
+		(known.Degraded == l.Degraded && known.Stated == l.Stated && known.Rejection == l.Rejection) ||
 		known.Announcement.Incarnation != l.Announcement.Incarnation {
 		return false
 	}
-	known.Degraded, known.Stated = l.Degraded, l.Stated
+	known.Degraded, known.Stated, known.Rejection = l.Degraded, l.Stated, l.Rejection
 	return true
 }
 
@@ -406,7 +407,7 @@
 		}
 		a := l.Announcement
 		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{
-			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated,
+			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated, Rejection: l.Rejection,
 		})
 	}
 	return v
@@ -437,4 +438,6 @@
 	Degraded bool
 	// Stated is what the server says of itself to any host.
 	Stated ServerStatement
+	// Rejection is the ratio of attempts that the server rejects as all hosts together measure it.
+	Rejection identifier.Ratio
 }
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -56,6 +56,8 @@
 	serverListDue struct{}
 	// measurementDue makes traffic send its measurements of the servers to control hosts.
 	measurementDue struct{}
+	// rejectionRelayDue makes a control host relay the measurements of servers that reject.
+	rejectionRelayDue struct{}
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
 	// ignored if another timer has superseded it.
 	requestDue struct {
@@ -64,23 +66,24 @@
 	}
 )
 
-func (heartbeatDue) isTimer()    {}
-func (expiryDue) isTimer()       {}
-func (queryDue) isTimer()        {}
-func (hedgeDue) isTimer()        {}
-func (retryDue) isTimer()        {}
-func (permitDue) isTimer()       {}
-func (crashRepeatDue) isTimer()  {}
-func (queueCheckDue) isTimer()   {}
-func (estimateDue) isTimer()     {}
-func (startupDue) isTimer()      {}
-func (pullDue) isTimer()         {}
-func (operationDue) isTimer()    {}
-func (replicationDue) isTimer()  {}
-func (notificationDue) isTimer() {}
-func (serverListDue) isTimer()   {}
-func (measurementDue) isTimer()  {}
-func (requestDue) isTimer()      {}
+func (heartbeatDue) isTimer()      {}
+func (expiryDue) isTimer()         {}
+func (queryDue) isTimer()          {}
+func (hedgeDue) isTimer()          {}
+func (retryDue) isTimer()          {}
+func (permitDue) isTimer()         {}
+func (crashRepeatDue) isTimer()    {}
+func (queueCheckDue) isTimer()     {}
+func (estimateDue) isTimer()       {}
+func (startupDue) isTimer()        {}
+func (pullDue) isTimer()           {}
+func (operationDue) isTimer()      {}
+func (replicationDue) isTimer()    {}
+func (notificationDue) isTimer()   {}
+func (serverListDue) isTimer()     {}
+func (measurementDue) isTimer()    {}
+func (rejectionRelayDue) isTimer() {}
+func (requestDue) isTimer()        {}
 
 type scheduledTimer struct {
 	at       identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -64,6 +64,8 @@
 	latenciesByRoute map[declarer.RouteID]*hedger.Hedger
 	// unsentTallies holds the measurements of servers not yet sent to control hosts.
 	unsentTallies map[identifier.ServerID]assessor.Tally
+	// unsentArrivals holds the attempts that servers which reject have rejected and accepted since then.
+	unsentArrivals map[identifier.ServerID]arrivals
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
@@ -98,6 +100,7 @@
 		splitters:        map[declarer.RouteID]*splitter.Splitter{},
 		latenciesByRoute: map[declarer.RouteID]*hedger.Hedger{},
 		unsentTallies:    map[identifier.ServerID]assessor.Tally{},
+		unsentArrivals:   map[identifier.ServerID]arrivals{},
 	}
 }
 
