pkg/reducer: end requests at once that can't reach their minimum coverage

A request with too few pieces left went on until all pieces had ended or its deadline: up to a second, while its client waited and servers worked for nothing. It now ends, and its open attempts are cancelled, as soon as so many pieces have failed that the answer can't be sufficient. Requests that may crash servers go on, since their other pieces show it.

--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -188,7 +188,7 @@
 	s.finishOrSchedule(q)
 }
 
-// finishOrSchedule finishes a request that is answered or has run out of time or servers.
+// finishOrSchedule finishes a request that is answered, can't be answered, or has run out of time or servers.
 // Otherwise it schedules the request's next timer.
 func (s *State) finishOrSchedule(q *request) {
 	if s.traffic.requests[q.Request] != q {
@@ -200,7 +200,7 @@
 	}
 	complete := q.finished == len(q.pieces)
 	switch {
-	case complete, s.now >= q.deadline, s.now >= q.partialAfter && q.sufficient():
+	case complete, q.isLost(), s.now >= q.deadline, s.now >= q.partialAfter && q.sufficient():
 		s.finishRequest(q, s.outcome(q, s.now >= q.deadline))
 	case s.now >= q.answerAt && s.now < q.partialAfter && q.sufficient() && !q.missedTargetLatency(s.now):
 		s.finishRequest(q, s.outcome(q, false))
@@ -209,6 +209,12 @@
 	}
 }
 
+// isLost reports whether so many pieces won't be served that the answer can't be sufficient. A request that may
+// crash servers goes on, since its other pieces show whether it does.
+func (q *request) isLost() bool {
+	return !q.mayCrashServers() && len(q.route.Shards) > 0 && !q.sufficientWith(len(q.pieces)-(q.finished-q.served))
+}
+
 // missedTargetLatency reports whether the target latency has passed, which makes any answer late.
 func (q *request) missedTargetLatency(now identifier.Instant) bool {
 	return now >= q.lateFrom
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -225,6 +225,14 @@
 			e.answer(1)
 			e.advance(searchTargetLatency)
 		}, shardCount + 2, nil},
+		// Waiting for the other pieces would delay the client, and waste what servers still do.
+		{"ends once its minimum coverage can't be reached", "/search/1", func(e *entryHost) {
+			e.lose(0)
+			e.lose(1)
+			e.lose(shardCount)
+			e.lose(shardCount + 1)
+			gomega.Expect(e.cancelled).To(gomega.HaveLen(shardCount - 2))
+		}, shardCount + 2, declined(reducer.TooFewParts, reducer.RanMaybe)},
 		{"is answered late once its minimum coverage is reached", "/search/1", func(e *entryHost) {
 			e.answer(0)
 			e.answer(1)
