pkg/reducer: give extra attempts to requests that can still be answered while servers reject

A host that has used up its credit for such a service reports it after 20 ms and is answered at once.

Nothing changes without listed rejections.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -97,16 +97,19 @@
 		return Lost{}
 	}
 	var rejected []int
-	missing, expected, budgets := required, 0.0, 0.0
+	// missing pieces must be served if all open ones are; expected is how many must be served in addition to the
+	// open ones that are.
+	missing, expected, budgets := required, float64(required), 0.0
 	for i := range pieces {
 		p := &pieces[i]
 		switch p.Stage {
 		case Served:
 			missing--
+			expected--
 			continue
 		case Open:
 			missing--
-			expected += float64(p.Rejection) * p.expectedAttempts()
+			expected -= 1 - float64(p.Rejection)
 		case Rejected:
 			rejected = append(rejected, i)
 		}
@@ -121,10 +124,11 @@
 	if len(rejected) == 0 {
 		return Proceed{}
 	}
+	attempts := 0.0
 	for _, i := range rejected {
-		expected += pieces[i].expectedAttempts()
+		attempts += pieces[i].expectedAttempts() / float64(len(rejected))
 	}
-	if expected > budgetShare*budgets {
+	if expected*attempts > budgetShare*budgets {
 		return Lost{}
 	}
 	return Proceed{Pieces: rejected}
--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -34,6 +34,9 @@
 	Borrowed []Borrowed `msgpack:"b"`
 	// Relayed is set by a control host that relays what its subscribers measured of servers that reject.
 	Relayed bool `msgpack:"y"`
+	// Prompt is set by a host that has used up its credit of extra attempts to a service whose servers reject.
+	// It is answered at once, so that the host can borrow again.
+	Prompt bool `msgpack:"m"`
 }
 
 // Measurement is the tally of one server.
@@ -61,6 +64,9 @@
 	if changed {
 		s.notifySubscribers()
 	}
+	if e.Prompt {
+		s.answerPrompt(e.From)
+	}
 }
 
 // updateVerdicts adds the tallies of one host to the evidence about its servers. It reports
@@ -152,9 +158,10 @@
 	}
 }
 
-// sendMeasurements sends a report to the control host that this host subscribes to.
-func (s *State) sendMeasurements() {
-	report := ServersMeasured{From: s.parameters.Host}
+// sendMeasurements sends a report to the control host that this host subscribes to; if prompt is set, that
+// answers at once.
+func (s *State) sendMeasurements(prompt bool) {
+	report := ServersMeasured{From: s.parameters.Host, Prompt: prompt}
 	s.addArrivals()
 	for _, id := range sortedKeys(s.traffic.unsentTallies) {
 		report.Servers = append(report.Servers, Measurement{Server: id, Tally: s.traffic.unsentTallies[id]})
@@ -162,9 +169,13 @@
 	for _, id := range sortedKeys(s.traffic.credit.unreported) {
 		report.Borrowed = append(report.Borrowed, Borrowed{Service: id, Count: s.traffic.credit.unreported[id]})
 	}
-	s.traffic.measurementScheduled = false
+	s.traffic.measurementScheduled = s.traffic.measurementScheduled && report.Prompt
 	clear(s.traffic.unsentTallies)
 	clear(s.traffic.credit.unreported)
+	if len(report.Servers) == 0 && len(report.Borrowed) == 0 {
+		// A prompt report has sent what there was.
+		return
+	}
 	if fleet := s.traffic.view.Fleet; fleet != nil && fleet.ControlHost != "" {
 		s.emit(Send{To: fleet.ControlHost, Event: report})
 	}
--- a/pkg/reducer/extraattempt.go
+++ b/pkg/reducer/extraattempt.go
@@ -85,9 +85,17 @@
 	maps.Copy(c.used, c.unreported)
 }
 
+// available returns how many extra attempts the host may borrow, given its limit.
+func (c *credit) available(id identifier.ServiceID, limit int) int {
+	if !c.open || c.exhausted[id] {
+		return 0
+	}
+	return max(0, limit-c.used[id])
+}
+
 // borrow takes an extra attempt from what is lent, if the host's limit allows one more.
 func (c *credit) borrow(id identifier.ServiceID, limit int) bool {
-	if !c.open || c.exhausted[id] || c.used[id] >= limit {
+	if c.available(id, limit) <= 0 {
 		return false
 	}
 	c.used[id]++
@@ -124,14 +132,19 @@
 
 // borrowExtra borrows an extra attempt to a service.
 func (s *State) borrowExtra(id identifier.ServiceID) bool {
-	limit := max(1, int(math.Ceil(creditPortion*s.extraSlack())))
-	if !s.traffic.credit.borrow(id, limit) {
+	if !s.traffic.credit.borrow(id, s.creditLimit()) {
 		return false
 	}
 	s.scheduleMeasurements()
+	s.schedulePromptReport(id)
 	return true
 }
 
+// creditLimit returns how many extra attempts to a service this host may borrow at a time.
+func (s *State) creditLimit() int {
+	return max(1, int(math.Ceil(creditPortion*s.extraSlack())))
+}
+
 // extraBudget returns this host's own budget of extra attempts to a service.
 func (s *State) extraBudget(id identifier.ServiceID) *throttler.Throttler {
 	budget, ok := s.traffic.extraBudgets[id]
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -120,6 +120,9 @@
 		s.finishRequest(q, s.unavailable(q, from))
 		return
 	}
+	if s.refuseRejected(q) {
+		return
+	}
 	s.delegate(q)
 	s.dispatchPieces(q)
 	s.finishOrSchedule(q)
@@ -198,7 +201,7 @@
 		s.deliverParts(q, to)
 		return
 	}
-	complete := q.finished == len(q.pieces)
+	complete := s.updateRationed(q) || q.lost || q.finished == len(q.pieces)
 	switch {
 	case complete, q.isLost(), s.now >= q.deadline, s.now >= q.partialAfter && q.sufficient():
 		s.finishRequest(q, s.outcome(q, s.now >= q.deadline))
@@ -381,7 +384,7 @@
 // deadline.
 func (s *State) scheduleRequest(q *request) {
 	next := q.deadline
-	for _, at := range []identifier.Instant{q.answerAt, q.partialAfter} {
+	for _, at := range []identifier.Instant{q.answerAt, q.partialAfter, q.settleAt} {
 		if at > s.now {
 			next = min(next, at)
 		}
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -108,7 +108,7 @@
 func (s *State) dispatchPiece(q *request, index int) {
 	p := &q.pieces[index]
 	p.retryAt = identifier.Never
-	if s.holdsBack(q) {
+	if s.holdsBack(q) || s.rations(q, p) {
 		return
 	}
 	if s.sendAttempt(q, index) || p.openAttempts > 0 {
@@ -502,6 +502,9 @@
 	}
 	p := &q.pieces[a.piece]
 	p.sent--
+	if e.Reason == ExchangeShed {
+		s.recordPieceRejected(q, p)
+	}
 	p.tried = slices.DeleteFunc(p.tried, func(id identifier.ServerID) bool { return id == a.server })
 	p.refused = append(p.refused, a.server)
 	if e.Reason == ExchangeUnreachable {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -157,7 +157,9 @@
 	case requestDue:
 		s.handleRequestTimer(t)
 	case measurementDue:
-		s.sendMeasurements()
+		s.sendMeasurements(false)
+	case promptReportDue:
+		s.sendPromptReport()
 	case rejectionRelayDue:
 		s.relayRejections()
 	}
--- a/pkg/reducer/rejection.go
+++ b/pkg/reducer/rejection.go
@@ -20,6 +20,9 @@
 	// With 40 pieces a second to a service it gives each server enough attempts to recover within two
 	// seconds; while a sound server is left, the service has extra attempts to spare for it.
 	rejectionProbeDivisor = 10
+	// promptReportDelay is how long a host collects loans that it reports at once, so that a burst of them
+	// costs one message and its answer.
+	promptReportDelay = 20 * identifier.Millisecond
 )
 
 // arrivals counts a server's attempts that it rejected, and those that it accepted meanwhile.
@@ -151,3 +154,28 @@
 		s.notifySubscribers()
 	}
 }
+
+// schedulePromptReport schedules a report of what this host has borrowed if it can't borrow another extra
+// attempt to a service whose servers reject.
+func (s *State) schedulePromptReport(id identifier.ServiceID) {
+	if s.traffic.promptReportScheduled || !s.hasRejection(id) || s.traffic.credit.available(id, s.creditLimit()) > 0 {
+		return
+	}
+	s.traffic.promptReportScheduled = true
+	s.schedule(s.now.Add(promptReportDelay), promptReportDue{})
+}
+
+// sendPromptReport reports what this host has borrowed if it has not been reported meanwhile.
+func (s *State) sendPromptReport() {
+	s.traffic.promptReportScheduled = false
+	if len(s.traffic.credit.unreported) > 0 {
+		s.sendMeasurements(true)
+	}
+}
+
+// answerPrompt tells a subscriber what is lent to it now.
+func (s *State) answerPrompt(id identifier.HostID) {
+	if p, ok := s.control.serverList.pollers[id]; ok && p.subscribed {
+		s.sendServerList(id, p, s.allEntryHosts())
+	}
+}
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -233,6 +233,8 @@
 	TooFewParts     DeclineReason = "too-few-parts"
 	// ServersUnavailable requests were not sent, since servers leave, pause or limit their requests.
 	ServersUnavailable DeclineReason = "servers-unavailable"
+	// ServersRejecting requests were not begun, since servers reject too many attempts.
+	ServersRejecting DeclineReason = "servers-rejecting"
 	// SuspectedCrash requests may have crashed backend servers.
 	SuspectedCrash DeclineReason = "suspected-crash"
 )
@@ -264,6 +266,10 @@
 	// attempted is set once an attempt has been sent; ran is set once one may have run, and
 	// answered once a server has answered one.
 	attempted, ran, answered bool
+	// lost is set once the extra attempts left are too few for the request.
+	lost bool
+	// settleAt is when the servers have rejected what they reject of the latest attempts.
+	settleAt identifier.Instant
 	// probing is set while the request may crash servers: it has one attempt in flight at a time.
 	probing bool
 	// losses counts the attempts whose servers closed the connection, and lostCalls describes those
@@ -299,6 +305,8 @@
 	mayProbe bool
 	// probesRejection is set when the piece disregards which servers reject attempts.
 	probesRejection bool
+	// rejected is set once a server has rejected an attempt without running it.
+	rejected bool
 }
 
 // requestAttempt is one attempt of a request. It is kept until its exchange ends, which may be
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -56,6 +56,8 @@
 	serverListDue struct{}
 	// measurementDue makes traffic send its measurements of the servers to control hosts.
 	measurementDue struct{}
+	// promptReportDue makes traffic report what it has borrowed before the next measurementDue.
+	promptReportDue struct{}
 	// rejectionRelayDue makes a control host relay the measurements of servers that reject.
 	rejectionRelayDue struct{}
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
@@ -82,6 +84,7 @@
 func (notificationDue) isTimer()   {}
 func (serverListDue) isTimer()     {}
 func (measurementDue) isTimer()    {}
+func (promptReportDue) isTimer()   {}
 func (rejectionRelayDue) isTimer() {}
 func (requestDue) isTimer()        {}
 
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -66,6 +66,8 @@
 	unsentTallies map[identifier.ServerID]assessor.Tally
 	// unsentArrivals holds the attempts that servers which reject have rejected and accepted since then.
 	unsentArrivals map[identifier.ServerID]arrivals
+	// promptReportScheduled is set while a promptReportDue timer is scheduled.
+	promptReportScheduled bool
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -67,6 +67,11 @@
 	return float64(t.spent) <= t.earned+roundingTolerance*float64(t.spent+1)
 }
 
+// Tokens returns the number of tokens that may be spent.
+func (t *Throttler) Tokens() float64 {
+	return t.tokens
+}
+
 // Spent returns the number of tokens spent.
 func (t *Throttler) Spent() uint64 {
 	return t.spent
