pkg/allocator, pkg/reducer: repeat dispensable pieces while a budget is plentiful

Answers lacked parts that the extra attempts could carry: with 31 of 36 pieces required, requests used a fifth of the limit. Pieces that a request can do without are now repeated while two extra attempts are left to the service on the host.

--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -8,8 +8,8 @@
 // queries miss a few pieces. Three rules spend them on queries that become whole:
 //
 //   - A query is begun only if it has a realistic chance with the budgets that there are.
-//   - A piece of a service without a sound server is repeated only if the query can't do without it, those
-//     with the best chance first.
+//   - A piece of a service without a sound server is repeated if the query can't do without it, those with the
+//     best chance first. Other ones are repeated only while the service's budget is plentiful.
 //   - A query that needs more extra attempts than its share of the budgets is lost, so that they are
 //     left for queries that need few.
 //
@@ -44,6 +44,9 @@
 	// maxExpectedAttempts limits the attempts that a served piece is expected to take, since a
 	// server that rejects everything has no finite expectation.
 	maxExpectedAttempts = 100
+	// spareBudget is the least budget of a service of which pieces that the query can do without get an attempt:
+	// one is left for the next query. Without them, answers lack parts while the budgets are full.
+	spareBudget = 2
 	// roundingTolerance is the allowed rounding error of a budget.
 	roundingTolerance = 1e-6
 )
@@ -120,18 +123,17 @@
 	slices.SortStableFunc(rejected, func(a, b int) int {
 		return cmp.Compare(pieces[b].chance(), pieces[a].chance())
 	})
-	rejected = rejected[:max(0, min(missing, len(rejected)))]
-	if len(rejected) == 0 {
-		return Proceed{}
-	}
+	needed := rejected[:max(0, min(missing, len(rejected)))]
+	spare := rejected[len(needed):]
 	attempts := 0.0
-	for _, i := range rejected {
-		attempts += pieces[i].expectedAttempts() / float64(len(rejected))
+	for _, i := range needed {
+		attempts += pieces[i].expectedAttempts() / float64(len(needed))
 	}
-	if expected*attempts > budgetShare*budgets {
+	if len(needed) > 0 && expected*attempts > budgetShare*budgets {
 		return Lost{}
 	}
-	return Proceed{Pieces: rejected}
+	spare = slices.DeleteFunc(spare, func(i int) bool { return pieces[i].Budget < spareBudget })
+	return Proceed{Pieces: append(slices.Clone(needed), spare...)}
 }
 
 // expectedAttempts returns how many attempts a piece takes until one is accepted.
--- a/pkg/reducer/rejection_test.go
+++ b/pkg/reducer/rejection_test.go
@@ -188,10 +188,10 @@
 		// minWhole is the least share of whole queries during the incident.
 		minWhole float64
 	}{
-		{"half of them 0.45 of the attempts, with a coverage of 35 of 36", 0.5, 0.45, 0.95, 0},
-		{"half of them 0.45 of the attempts, with a coverage of 31 of 36", 0.5, 0.45, 0.85, 0},
+		{"half of them 0.45 of the attempts, with a coverage of 35 of 36", 0.5, 0.45, 0.95, 0.4},
+		{"half of them 0.45 of the attempts, with a coverage of 31 of 36", 0.5, 0.45, 0.85, 0.95},
 		{"0.8 of them 0.6 of the attempts, with a coverage of 35 of 36", 0.8, 0.6, 0.95, 0},
-		{"0.8 of them 0.6 of the attempts, with a coverage of 31 of 36", 0.8, 0.6, 0.85, 0},
+		{"0.8 of them 0.6 of the attempts, with a coverage of 31 of 36", 0.8, 0.6, 0.85, 0.25},
 	} {
 		ginkgo.It("answers as many queries as the extra attempts can carry: "+c.name, func() {
 			r := newRejectingFleet(c.coverage)
@@ -212,6 +212,69 @@
 	}
 })
 
+var _ = ginkgo.Describe("a request to services whose servers all reject", func() {
+	for _, c := range []struct {
+		name string
+		// rejection is the listed ratio of the servers of the first shards, of which there are rejecting.
+		rejection identifier.Ratio
+		rejecting int
+		steps     func(e *entryHost)
+		exchanges int
+		// outcome is nil for a request that has not completed.
+		outcome gomega.OmegaMatcher
+	}{
+		{"is not begun without a chance", 1, 2, func(*entryHost) {}, 0, gomega.And(
+			gomega.HaveField("Reason", reducer.ServersRejecting), gomega.HaveField("Ran", reducer.RanNo),
+			gomega.HaveField("RetryAfter", gomega.BeNumerically(">=", identifier.Second)))},
+		{"is begun if it can do without them", 1, 1, func(*entryHost) {}, shardCount, nil},
+		{"waits for further rejections before it repeats a piece", 0.5, 2, func(e *entryHost) {
+			e.refuse(0, reducer.ExchangeShed)
+			e.advance(7 * identifier.Millisecond)
+		}, shardCount, nil},
+		{"repeats the pieces together", 0.5, 2, func(e *entryHost) {
+			e.refuse(0, reducer.ExchangeShed)
+			e.refuse(1, reducer.ExchangeShed)
+			e.advance(9 * identifier.Millisecond)
+		}, shardCount + 2, nil},
+		{"ends at once if it needs more extra attempts than its share", 0.95, 2, func(e *entryHost) {
+			e.refuse(0, reducer.ExchangeShed)
+			e.refuse(1, reducer.ExchangeShed)
+			e.advance(9 * identifier.Millisecond)
+			gomega.Expect(e.cancelled).To(gomega.HaveLen(shardCount - 2))
+		}, shardCount, gomega.HaveField("Reason", reducer.TooFewParts)},
+		{"is answered at once without the pieces that it can do without", 0.95, 1, func(e *entryHost) {
+			for i := 1; i < shardCount; i++ {
+				e.answer(i)
+			}
+			e.refuse(0, reducer.ExchangeShed)
+			// Extra attempts for it are left to others once fewer than two remain of the four saved ones.
+			for i, wait := range []identifier.Micros{9, 9, 9 + reducer.ServerRetryInterval/identifier.Millisecond} {
+				e.advance(wait * identifier.Millisecond)
+				e.refuse(shardCount+i, reducer.ExchangeShed)
+			}
+			e.advance(9 * identifier.Millisecond)
+		}, shardCount + 3, gomega.HaveField("Missing", 1)},
+	} {
+		ginkgo.It(c.name, func() {
+			v := entryFleetView()
+			for i := range c.rejecting {
+				for n := range v.Backends[identifier.ServiceID(fmt.Sprintf("shard-%d", i))] {
+					v.Backends[identifier.ServiceID(fmt.Sprintf("shard-%d", i))][n].Rejection = c.rejection
+				}
+			}
+			e := newEntryHost(v)
+			e.sendRequest("q", "/search/1")
+			c.steps(e)
+			gomega.Expect(e.sent).To(gomega.HaveLen(c.exchanges))
+			if c.outcome == nil {
+				gomega.Expect(e.outcomes).To(gomega.BeEmpty())
+				return
+			}
+			gomega.Expect(e.outcomes["q"]).To(c.outcome)
+		})
+	}
+})
+
 var _ = ginkgo.Describe("a rejection", func() {
 	newHost := func(change func(*reducer.FleetView)) *entryHost {
 		v := entryFleetView()
