--- a/pkg/reducer/extraattempt_test.go
+++ b/pkg/reducer/extraattempt_test.go
@@ -126,6 +126,25 @@
 		})
 	}
 
+	// The control host has not counted such loans yet, so that all hosts together could exceed the limit.
+	ginkgo.It("are not lent anew before the last ones are reported", func() {
+		e := newEntryHost(entryFleetView())
+		lose := func(requests int) {
+			for range requests {
+				e.sendRequest(identifier.RequestID(fmt.Sprint(len(e.sent))), "/archive/1")
+				e.lose(len(e.sent) - 1)
+			}
+		}
+		// The host has saved up 4 extra attempts and may borrow 2 at a time.
+		lending := reducer.LendingUpdated{Lending: reducer.Lending{Open: true}}
+		e.reduce(lending)
+		lose(7)
+		gomega.Expect(e.sent).To(gomega.HaveLen(7 + 4 + 2))
+		e.reduce(lending)
+		lose(1)
+		gomega.Expect(e.sent).To(gomega.HaveLen(8 + 4 + 2))
+	})
+
 	ginkgo.It("are lent only after a control host has run for a window", func() {
 		l := newLossyFleet(one)
 		open := map[bool]int{}
