--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -32,6 +32,11 @@
 	Servers []Measurement     `msgpack:"s"`
 	// Borrowed are the extra attempts that the host has borrowed since its last report.
 	Borrowed []Borrowed `msgpack:"b"`
+	// Relayed is set by a control host that relays what its subscribers measured of servers that reject.
+	Relayed bool `msgpack:"y"`
+	// Prompt is set by a host that has used up its credit of extra attempts to a service whose servers reject.
+	// It is answered at once, so that the host can borrow again.
+	Prompt bool `msgpack:"m"`
 }
 
 // Measurement is the tally of one server.
@@ -44,9 +49,12 @@
 // degraded servers or lending.
 func (s *State) handleMeasurements(e ServersMeasured) {
 	changed := s.lend(e.Borrowed)
+	changed = s.recordRejections(e) || changed
 	tallies := make([]assessor.Tally, 0, len(e.Servers))
 	for _, m := range e.Servers {
-		tallies = append(tallies, m.Tally)
+		if m.Tally.Answers > 0 {
+			tallies = append(tallies, m.Tally)
+		}
 	}
 	if assessor.IndicatesHostFault(tallies) {
 		s.log(MembershipSubsystem, Debug, "measurements ignored: most servers look poor to one host", Field{"host", string(e.From)})
@@ -56,6 +64,9 @@
 	if changed {
 		s.notifySubscribers()
 	}
+	if e.Prompt {
+		s.answerPrompt(e.From)
+	}
 }
 
 // updateVerdicts adds the tallies of one host to the evidence about its servers. It reports
@@ -65,7 +76,7 @@
 	before := sl.revision
 	for _, m := range e.Servers {
 		server, ok := sl.servers[m.Server]
-		if !ok || server.Standing == Left || server.Standing == Displaced {
+		if !ok || server.Standing == Left || server.Standing == Displaced || m.Tally.Answers == 0 {
 			continue
 		}
 		degraded, changed := sl.assessor.Add(s.now, m.Server, m.Tally)
@@ -147,18 +158,24 @@
 	}
 }
 
-// sendMeasurements sends a report to the control host that this host subscribes to.
-func (s *State) sendMeasurements() {
-	report := ServersMeasured{From: s.parameters.Host}
+// sendMeasurements sends a report to the control host that this host subscribes to; if prompt is set, that
+// answers at once.
+func (s *State) sendMeasurements(prompt bool) {
+	report := ServersMeasured{From: s.parameters.Host, Prompt: prompt}
+	s.addArrivals()
 	for _, id := range sortedKeys(s.traffic.unsentTallies) {
 		report.Servers = append(report.Servers, Measurement{Server: id, Tally: s.traffic.unsentTallies[id]})
 	}
 	for _, id := range sortedKeys(s.traffic.credit.unreported) {
 		report.Borrowed = append(report.Borrowed, Borrowed{Service: id, Count: s.traffic.credit.unreported[id]})
 	}
-	s.traffic.measurementScheduled = false
+	s.traffic.measurementScheduled = s.traffic.measurementScheduled && report.Prompt
 	clear(s.traffic.unsentTallies)
 	clear(s.traffic.credit.unreported)
+	if len(report.Servers) == 0 && len(report.Borrowed) == 0 {
+		// A prompt report has sent what there was.
+		return
+	}
 	if fleet := s.traffic.view.Fleet; fleet != nil && fleet.ControlHost != "" {
 		s.emit(Send{To: fleet.ControlHost, Event: report})
 	}
@@ -170,6 +187,9 @@
 	if slices.ContainsFunc(s.traffic.view.Fleet.Backends[id], func(b Backend) bool { return b.Degraded }) {
 		p.mayProbe = s.random.IntN(probeDivisor) == 0
 	}
+	if s.hasRejection(id) {
+		p.probesRejection = s.random.IntN(rejectionProbeDivisor) == 0
+	}
 	return p
 }
 
--- a/pkg/reducer/extraattempt.go
+++ b/pkg/reducer/extraattempt.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"math"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -59,8 +60,8 @@
 type credit struct {
 	open      bool
 	exhausted map[identifier.ServiceID]bool
-	// used counts the attempts borrowed since the control host's last message, and unreported
-	// those not yet reported to it.
+	// used counts the attempts borrowed since the control host's last message or not yet reported to
+	// it; unreported counts the latter.
 	used, unreported map[identifier.ServiceID]int
 }
 
@@ -79,12 +80,22 @@
 	for _, id := range l.Exhausted {
 		c.exhausted[id] = true
 	}
+	// The control host has not counted what is unreported: a message must not make room for more of it.
 	clear(c.used)
+	maps.Copy(c.used, c.unreported)
+}
+
+// available returns how many extra attempts the host may borrow, given its limit.
+func (c *credit) available(id identifier.ServiceID, limit int) int {
+	if !c.open || c.exhausted[id] {
+		return 0
+	}
+	return max(0, limit-c.used[id])
 }
 
 // borrow takes an extra attempt from what is lent, if the host's limit allows one more.
 func (c *credit) borrow(id identifier.ServiceID, limit int) bool {
-	if !c.open || c.exhausted[id] || c.used[id] >= limit {
+	if c.available(id, limit) <= 0 {
 		return false
 	}
 	c.used[id]++
@@ -121,14 +132,19 @@
 
 // borrowExtra borrows an extra attempt to a service.
 func (s *State) borrowExtra(id identifier.ServiceID) bool {
-	limit := max(1, int(math.Ceil(creditPortion*s.extraSlack())))
-	if !s.traffic.credit.borrow(id, limit) {
+	if !s.traffic.credit.borrow(id, s.creditLimit()) {
 		return false
 	}
 	s.scheduleMeasurements()
+	s.schedulePromptReport(id)
 	return true
 }
 
+// creditLimit returns how many extra attempts to a service this host may borrow at a time.
+func (s *State) creditLimit() int {
+	return max(1, int(math.Ceil(creditPortion*s.extraSlack())))
+}
+
 // extraBudget returns this host's own budget of extra attempts to a service.
 func (s *State) extraBudget(id identifier.ServiceID) *throttler.Throttler {
 	budget, ok := s.traffic.extraBudgets[id]
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -108,7 +108,7 @@
 func (s *State) dispatchPiece(q *request, index int) {
 	p := &q.pieces[index]
 	p.retryAt = identifier.Never
-	if s.holdsBack(q) {
+	if s.holdsBack(q) || s.rations(q, p) {
 		return
 	}
 	if s.sendAttempt(q, index) || p.openAttempts > 0 {
@@ -298,6 +298,7 @@
 			Rank:        q.rank,
 			Slots:       b.Slots,
 			Detour:      detour,
+			Rejection:   p.rejectionOf(b),
 		})
 	}
 	s.traffic.candidates = candidates
@@ -428,6 +429,7 @@
 		return
 	}
 	latency := s.now.Since(a.sent)
+	s.recordAccepted(a)
 	s.activity(a.server).lastAnswer = s.now
 	s.activity(a.server).unreachable = 0
 	s.recordStatement(a, e.Statement)
@@ -498,12 +500,17 @@
 	if e.Reason == ExchangeShed {
 		s.recordStatement(a, e.Statement)
 	}
-	s.recordFailure(a)
+	if e.Reason != ExchangeShed || !s.recordRejected(a) {
+		s.recordFailure(a)
+	}
 	if q == nil {
 		return
 	}
 	p := &q.pieces[a.piece]
 	p.sent--
+	if e.Reason == ExchangeShed {
+		s.recordPieceRejected(q, p)
+	}
 	p.tried = slices.DeleteFunc(p.tried, func(id identifier.ServerID) bool { return id == a.server })
 	p.refused = append(p.refused, a.server)
 	if e.Reason == ExchangeUnreachable {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -159,7 +159,11 @@
 	case requestDue:
 		s.handleRequestTimer(t)
 	case measurementDue:
-		s.sendMeasurements()
+		s.sendMeasurements(false)
+	case promptReportDue:
+		s.sendPromptReport()
+	case rejectionRelayDue:
+		s.relayRejections()
 	case creditDue:
 		s.handleCreditTimer(t.request)
 	case reportDue:
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -60,6 +60,10 @@
 	creditDue struct{ request identifier.RequestID }
 	// reportDue reports to the owner of quotas. It is ignored if another timer has superseded it.
 	reportDue struct{ at identifier.Instant }
+	// promptReportDue makes traffic report what it has borrowed before the next measurementDue.
+	promptReportDue struct{}
+	// rejectionRelayDue makes a control host relay the measurements of servers that reject.
+	rejectionRelayDue struct{}
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
 	// ignored if another timer has superseded it.
 	requestDue struct {
@@ -68,25 +72,27 @@
 	}
 )
 
-func (heartbeatDue) isTimer()    {}
-func (expiryDue) isTimer()       {}
-func (queryDue) isTimer()        {}
-func (hedgeDue) isTimer()        {}
-func (retryDue) isTimer()        {}
-func (permitDue) isTimer()       {}
-func (crashRepeatDue) isTimer()  {}
-func (queueCheckDue) isTimer()   {}
-func (estimateDue) isTimer()     {}
-func (startupDue) isTimer()      {}
-func (pullDue) isTimer()         {}
-func (operationDue) isTimer()    {}
-func (replicationDue) isTimer()  {}
-func (notificationDue) isTimer() {}
-func (serverListDue) isTimer()   {}
-func (measurementDue) isTimer()  {}
-func (requestDue) isTimer()      {}
-func (creditDue) isTimer()       {}
-func (reportDue) isTimer()       {}
+func (heartbeatDue) isTimer()      {}
+func (expiryDue) isTimer()         {}
+func (queryDue) isTimer()          {}
+func (hedgeDue) isTimer()          {}
+func (retryDue) isTimer()          {}
+func (permitDue) isTimer()         {}
+func (crashRepeatDue) isTimer()    {}
+func (queueCheckDue) isTimer()     {}
+func (estimateDue) isTimer()       {}
+func (startupDue) isTimer()        {}
+func (pullDue) isTimer()           {}
+func (operationDue) isTimer()      {}
+func (replicationDue) isTimer()    {}
+func (notificationDue) isTimer()   {}
+func (serverListDue) isTimer()     {}
+func (measurementDue) isTimer()    {}
+func (promptReportDue) isTimer()   {}
+func (rejectionRelayDue) isTimer() {}
+func (requestDue) isTimer()        {}
+func (creditDue) isTimer()         {}
+func (reportDue) isTimer()         {}
 
 type scheduledTimer struct {
 	at       identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -68,6 +68,10 @@
 	provenUntil identifier.Instant
 	// deniedUntil holds, for each customer that was denied a credit, when there is another one.
 	deniedUntil map[identifier.CustomerID]identifier.Instant
+	// unsentArrivals holds the attempts that servers which reject have rejected and accepted since then.
+	unsentArrivals map[identifier.ServerID]arrivals
+	// promptReportScheduled is set while a promptReportDue timer is scheduled.
+	promptReportScheduled bool
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
@@ -103,6 +107,7 @@
 		latenciesByRoute: map[declarer.RouteID]*hedger.Hedger{},
 		unsentTallies:    map[identifier.ServerID]assessor.Tally{},
 		deniedUntil:      map[identifier.CustomerID]identifier.Instant{},
+		unsentArrivals:   map[identifier.ServerID]arrivals{},
 	}
 }
 
