--- a/internal/loader/fleet_test.go
+++ b/internal/loader/fleet_test.go
@@ -55,6 +55,8 @@
 		{"require a data folder for control", controlSettings, "/data", `""`, "control.data-folder"},
 		{"require the announcement interval for control", controlSettings, "ms: 1200", "ms: 0", "fleet.announcement-interval-ms"},
 		{"must not contain negative limits", entrySettings, "slack: 52", "slack: -1", ":8: fleet"},
+		{"must not contain negative limits on clients", entrySettings, "fleet:\n", "clients: {connections: -1}\nfleet:\n", ":8: clients"},
+		{"must not contain a negative memory limit", entrySettings, "fleet:\n", "memory-limit-mb: -1\nfleet:\n", ":8: memory-limit-mb"},
 	} {
 		ginkgo.It(c.name, func() {
 			file := writeFile(strings.Replace(c.text, c.old, c.replacement, 1))
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -89,6 +89,8 @@
 	if s.Shutdown.BalancerDelayMillis < 0 || s.Shutdown.TimeoutMillis < 0 {
 		d.addFault("shutdown", "spans must not be negative")
 	}
+	d.checkClients(s)
+	s.Clients.setDefaults()
 	if s.TrafficStates == 0 {
 		s.TrafficStates = DefaultTrafficStates
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -43,6 +43,11 @@
 	Logs Logs `yaml:"logs"`
 	// Shutdown sets the timing of a graceful shutdown.
 	Shutdown Shutdown `yaml:"shutdown"`
+	// Clients limits what the requests that arrive at this host may hold.
+	Clients Clients `yaml:"clients"`
+	// MemoryLimitMegabytes is the size of the process from which the garbage collector runs more often, in
+	// MB; 0 means no limit.
+	MemoryLimitMegabytes int64 `yaml:"memory-limit-mb"`
 }
 
 // Listen holds the addresses of the listeners.
@@ -144,6 +149,20 @@
 	TimeoutMillis int64 `yaml:"timeout-ms"`
 }
 
+// Clients holds the limits on what requests hold from their first byte until their answer is written, and
+// on connections. They apply to the listener for callers and to that for backend servers, each; every
+// other listener has an eighth of them. 0 means the default.
+type Clients struct {
+	// MemoryMegabytes limits the memory of all clients together, in MB.
+	MemoryMegabytes int64 `yaml:"memory-mb"`
+	// ClientMemoryMegabytes limits the memory of the clients at one IP address, in MB.
+	ClientMemoryMegabytes int64 `yaml:"client-memory-mb"`
+	// Connections limits the connections of all clients together.
+	Connections int `yaml:"connections"`
+	// ClientConnections limits the connections from one IP address.
+	ClientConnections int `yaml:"client-connections"`
+}
+
 // CustomersFile holds the templates and customers of a configuration.
 type CustomersFile struct {
 	// Version is the version of the configuration; it must be above 0.
