internal/screener, internal/runner: limit what clients' requests hold

Cause: net/http allocates for each header line, handlers read bodies of legal size without a count, and the declaration's head size, header timeout and idle timeout were not applied, so a crowd of clients made a process run out of memory. Change: each listener's connections count heads as they arrive, bodies before they are read, and themselves, with pkg/reserver; heads obey the declaration; what is ended is refused with 408, 431 or 503 before it runs, and writes of answers have a limit. Control hosts' listeners are limited in the same way. memory-limit-mb sets the soft memory limit.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -199,6 +199,7 @@
 			return err
 		}
 		host, err := runner.New(loader.Settings{
+			Clients:       loader.DefaultClients(),
 			Host:          self.Host,
 			Domain:        self.Domain,
 			Peers:         relayed,
--- a/internal/executor/requests.go
+++ b/internal/executor/requests.go
@@ -21,10 +21,15 @@
 // BodyLimit returns the maximum size of a request body according to the declaration, or 0 if
 // it is unknown.
 func (h *Host) BodyLimit() identifier.Bytes {
+	return h.ClientLimits().MaxBodySize
+}
+
+// ClientLimits returns the declaration's limits on clients, or zero values without a declaration.
+func (h *Host) ClientLimits() declarer.Limits {
 	if fleet := h.View().Fleet; fleet != nil {
-		return fleet.Declaration.Limits.MaxBodySize
+		return fleet.Declaration.Limits
 	}
-	return 0
+	return declarer.Limits{}
 }
 
 // BeginStop marks the host as stopping, so that clients are asked to reconnect to other hosts.
--- a/internal/loader/clients.go
+++ b/internal/loader/clients.go
@@ -16,12 +16,16 @@
 	defaultClientDenominator = 4
 )
 
-// setDefaults fills in the limits that are left out.
-func (c *Clients) setDefaults() {
+// DefaultClients returns the limits of settings that name none.
+func DefaultClients() Clients { return Clients{}.withDefaults() }
+
+// withDefaults fills in the limits that are left out.
+func (c Clients) withDefaults() Clients {
 	c.MemoryMegabytes = cmp.Or(c.MemoryMegabytes, DefaultClientsMegabytes)
 	c.ClientMemoryMegabytes = cmp.Or(c.ClientMemoryMegabytes, max(1, c.MemoryMegabytes*defaultClientNumerator/defaultClientDenominator))
 	c.Connections = cmp.Or(c.Connections, DefaultConnections)
 	c.ClientConnections = cmp.Or(c.ClientConnections, max(1, c.Connections*defaultClientNumerator/defaultClientDenominator))
+	return c
 }
 
 // checkClients validates the limits on clients and on memory.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -90,7 +90,7 @@
 		d.addFault("shutdown", "spans must not be negative")
 	}
 	d.checkClients(s)
-	s.Clients.setDefaults()
+	s.Clients = s.Clients.withDefaults()
 	if s.TrafficStates == 0 {
 		s.TrafficStates = DefaultTrafficStates
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,6 +37,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/messenger"
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/internal/ranger"
+	"github.com/lagooncleat/lagooncleat/internal/screener"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -45,8 +46,6 @@
 const (
 	runnerSubsystem    reducer.Subsystem = "runner"
 	messengerSubsystem reducer.Subsystem = "messenger"
-	// headerTimeout limits the time to read the header of an HTTP request.
-	headerTimeout = 5 * time.Second
 )
 
 // Runner runs one host, which is an entry host, a control host or both.
@@ -146,6 +145,7 @@
 }
 
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
+	limitMemory(s)
 	return &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
 		servers: map[ListenerIndex]*http.Server{},
@@ -193,9 +193,10 @@
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	server := newServer(h)
+	limited := r.newScreener(l).Limit(server, r.listeners[l])
 	r.servers[l] = server
 	r.group.Go(func() {
-		if err := server.Serve(r.listeners[l]); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
@@ -203,7 +204,7 @@
 
 // newServer returns an HTTP server that knows the distance to its clients.
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnContext: ranger.ConnContext}
+	return &http.Server{Handler: h, ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext}
 }
 
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
