--- a/internal/runner/clients.go
+++ b/internal/runner/clients.go
@@ -32,7 +32,8 @@
 	}
 	switch l {
 	case Callers:
-		return screener.New(limits, r.host.ClientLimits)
+		// The host is created later than its listeners' limits.
+		return screener.New(limits, func() declarer.Limits { return r.host.ClientLimits() })
 	case BackendServers:
 	default:
 		limits.Memory, limits.ClientMemory = limits.Memory/minorDivisor, limits.ClientMemory/minorDivisor
--- a/internal/runner/gauge.go
+++ b/internal/runner/gauge.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/internal/meter"
+	"github.com/lagooncleat/lagooncleat/internal/screener"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -20,6 +21,16 @@
 	{"lagooncleat_control_storage_failed", func(v *reducer.View) float64 { return oneIf(v.Control.StorageFailed) }},
 }
 
+// clientGauges lists the gauges of the listeners for callers and for backend servers together.
+var clientGauges = []struct {
+	name string
+	read func(screener.Load) float64
+}{
+	{"lagooncleat_clients_connections", func(l screener.Load) float64 { return float64(l.Connections) }},
+	{"lagooncleat_clients_ended", func(l screener.Load) float64 { return float64(l.Ended) }},
+	{"lagooncleat_clients_memory_bytes", func(l screener.Load) float64 { return float64(l.Memory) }},
+}
+
 func oneIf(condition bool) float64 {
 	if condition {
 		return 1
@@ -31,4 +42,9 @@
 	for _, g := range gauges {
 		m.RegisterGauge(g.name, func() float64 { return g.read(r.host.View()) })
 	}
+	for _, g := range clientGauges {
+		m.RegisterGauge(g.name, func() float64 {
+			return g.read(r.screeners[Callers].Load()) + g.read(r.screeners[BackendServers].Load())
+		})
+	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	caller    *caller.Caller
 	exchanger *exchanger.Exchanger
 	servers   map[ListenerIndex]*http.Server
+	screeners [listenerCount]*screener.Screener
 	listeners Listeners
 	journal   *journaler.Journaler
 	group     sync.WaitGroup
@@ -146,10 +147,14 @@
 
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
 	limitMemory(s)
-	return &Runner{
+	r := &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
 		servers: map[ListenerIndex]*http.Server{},
 	}
+	for l := range listenerCount {
+		r.screeners[l] = r.newScreener(l)
+	}
+	return r
 }
 
 // serveOperators serves the interface for operators, and the metrics on an address of their own if
@@ -193,7 +198,7 @@
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	server := newServer(h)
-	limited := r.newScreener(l).Limit(server, r.listeners[l])
+	limited := r.screeners[l].Limit(server, r.listeners[l])
 	r.servers[l] = server
 	r.group.Go(func() {
 		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -18,6 +18,7 @@
 	"sync"
 
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reserver"
 )
 
@@ -35,6 +36,14 @@
 	reserver    *reserver.Reserver
 	connections map[reserver.ConnectionID]*connection
 	last        reserver.ConnectionID
+	ended       uint64
+}
+
+// Load is what the connections of a Screener hold, and how many were ended to make room since its start.
+type Load struct {
+	Memory      identifier.Bytes
+	Connections int
+	Ended       uint64
 }
 
 // New returns a Screener without connections.
@@ -45,6 +54,14 @@
 	}
 }
 
+// Load returns the present load.
+func (s *Screener) Load() Load {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	memory, connections := s.reserver.Held()
+	return Load{Memory: memory, Connections: connections, Ended: s.ended}
+}
+
 // Limit limits the requests of a server, which must not have begun to serve, and returns the listener that
 // it must serve.
 func (s *Screener) Limit(server *http.Server, l net.Listener) net.Listener {
@@ -137,6 +154,7 @@
 	for _, e := range ended {
 		endings = append(endings, ending{s.connections[e.Connection], e.Unfinished})
 		delete(s.connections, e.Connection)
+		s.ended++
 	}
 	return endings
 }
--- a/pkg/quarantiner/fingerprint.go
+++ b/pkg/quarantiner/fingerprint.go
@@ -14,7 +14,8 @@
 	digest := xxhash.New()
 	for _, text := range contents {
 		// Writing to a digest never returns an error.
-		_, _ = digest.WriteString(strconv.Itoa(len(text)) + ":" + text)
+		_, _ = digest.WriteString(strconv.Itoa(len(text)) + ":")
+		_, _ = digest.WriteString(text)
 	}
 	return identifier.Fingerprint(digest.Sum64())
 }
