pkg/reserver, internal/screener: count answers that clients don't read

Cause: an answer counted for nothing while it was written, so clients that read none could still use up the memory. Such answers are ended when their room is needed, after unfinished requests and idle connections.

--- a/internal/screener/connection.go
+++ b/internal/screener/connection.go
@@ -31,6 +31,8 @@
 	// writeTimeout limits each write of an answer: a client that reads none must not hold its request for
 	// ever. A body of 16 MB takes 7 s at an entry host's 20 Mbit/s.
 	writeTimeout = 30 * time.Second
+	// smallAnswerSize is what net/http writes from its buffer, which counts with the connection.
+	smallAnswerSize identifier.Bytes = 4 << 10
 	// retryAfterSeconds is the pause that a request refused for lack of memory is asked for.
 	retryAfterSeconds = 1
 )
@@ -227,6 +229,13 @@
 	if c.ended.Load() {
 		return 0, net.ErrClosed
 	}
+	if size := identifier.Bytes(len(p)); size > smallAnswerSize {
+		s := c.screener
+		s.mutex.Lock()
+		ended := s.take(s.reserver.Answer(c.id, size))
+		s.mutex.Unlock()
+		end(ended)
+	}
 	// An error means that the connection is closed, which Write reports too.
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return c.Conn.Write(p)
--- a/internal/screener/screener_test.go
+++ b/internal/screener/screener_test.go
@@ -28,12 +28,15 @@
 	waitLimit = 10 * time.Second
 	maxHead   = 16384
 	maxBody   = 262144
+	// largeAnswer is more than the kernel buffers of a connection.
+	largeAnswer = 32 << 20
 )
 
 // served is a server with the limits of a declaration, and room for one request that uses them to the full.
 type served struct {
-	address string
-	runs    atomic.Int32
+	address  string
+	screener *screener.Screener
+	runs     atomic.Int32
 	// answer lets requests end once it is closed.
 	answer chan struct{}
 }
@@ -49,6 +52,10 @@
 		if r.URL.Path == "/wait" {
 			<-s.answer
 		}
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, largeAnswer))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})}
 	limits := reserver.Limits{Memory: 2 << 20, ClientMemory: 2 << 20, Connections: 20, ClientConnections: 20}
@@ -58,7 +65,8 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	limited := screener.New(limits, func() declarer.Limits { return declared }).Limit(server, l)
+	s.screener = screener.New(limits, func() declarer.Limits { return declared })
+	limited := s.screener.Limit(server, l)
 	s.address = l.Addr().String()
 	go func() { _ = server.Serve(limited) }()
 	ginkgo.DeferCleanup(server.Close)
@@ -157,6 +165,18 @@
 		gomega.Expect(s.runs.Load()).To(gomega.Equal(int32(5)))
 	})
 
+	ginkgo.It("ends an answer that isn't read when another one needs the room", func() {
+		s := serve()
+		_, unread := s.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		gomega.Eventually(func() identifier.Bytes { return s.screener.Load().Memory }, waitLimit).Should(gomega.BeNumerically(">", largeAnswer/2))
+		_, r := s.send("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		read, err := io.ReadAll(r)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(len(read)).To(gomega.BeNumerically(">", largeAnswer))
+		lost, _ := io.ReadAll(unread)
+		gomega.Expect(len(lost)).To(gomega.BeNumerically("<", largeAnswer))
+	})
+
 	ginkgo.It("serves requests that arrive together, and slow ones within the timeouts", func() {
 		s := serve()
 		one := post + "Content-Length: 2\r\n\r\nbb"
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -4,9 +4,10 @@
 // The load that it answers: clients that send very many header lines, or bodies that stop just short of
 // their end, on many connections at once, until the process runs out of memory or descriptors.
 //
-// A connection is idle, or its request is unfinished (it has begun to arrive) or runs. What it holds counts
-// for the process and for its client before it is taken. When a limit would be exceeded, the oldest
-// unfinished request is ended. Running requests are never ended, so an ended request has not run.
+// A connection is idle, or its request is unfinished (it has begun to arrive), runs or is being answered. What it
+// holds counts for the process and for its client before it is taken. When a limit would be exceeded, the oldest
+// unfinished request is ended, which has not run. Running requests are never ended. Answers that a client
+// doesn't read are ended last.
 //
 // # Usage
 //
@@ -16,11 +17,13 @@
 //	if r.Run(id) {
 //		run()
 //	}
+//	ended = r.Answer(id, size)
 //	r.Finish(id)
 //	r.Close(id)
 package reserver
 
 import (
+	"cmp"
 	"container/list"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -73,6 +76,7 @@
 	idle phase = iota
 	unfinished
 	running
+	answering
 )
 
 // connection is an open connection. elements holds its places in the queues of its accounts: the client's
@@ -90,8 +94,8 @@
 type account struct {
 	memory, maxMemory           identifier.Bytes
 	connections, maxConnections int
-	// idle and unfinished hold the connections in that phase, in the order in which they entered it.
-	idle, unfinished list.List
+	// idle, unfinished and answering hold the connections in that phase, in the order in which they entered it.
+	idle, unfinished, answering list.List
 }
 
 // fits reports whether the connections and a further size are within the limits.
@@ -99,9 +103,12 @@
 	return a.memory+size <= a.maxMemory && a.connections <= a.maxConnections
 }
 
-func oldest(l *list.List) *connection {
-	if front := l.Front(); front != nil {
-		return front.Value.(*connection)
+// victim returns the oldest connection of the first queue that begins with another connection than c, or nil.
+func victim(c *connection, queues ...*list.List) *connection {
+	for _, q := range queues {
+		if front := q.Front(); front != nil && front.Value.(*connection) != c {
+			return front.Value.(*connection)
+		}
 	}
 	return nil
 }
@@ -139,11 +146,7 @@
 	var ended []Ended
 	for _, a := range c.accounts {
 		for r.connections[id] != nil && !a.fits(ConnectionSize) {
-			victim := oldest(&a.idle)
-			if victim == c && a.unfinished.Len() > 0 {
-				victim = oldest(&a.unfinished)
-			}
-			ended = append(ended, r.end(victim))
+			ended = append(ended, r.end(cmp.Or(victim(c, &a.idle, &a.unfinished, &a.answering), c)))
 		}
 	}
 	if r.connections[id] != nil {
@@ -160,7 +163,8 @@
 }
 
 // Reserve adds to what an unfinished request holds and returns the connections that must be closed, which
-// may include its own. Requests that began before it are ended first, then idle connections, then itself.
+// may include its own. Requests that began before it are ended first, then idle connections, then answers,
+// then itself.
 func (r *Reserver) Reserve(id ConnectionID, size identifier.Bytes) []Ended {
 	c := r.connections[id]
 	if c == nil {
@@ -170,14 +174,7 @@
 	var ended []Ended
 	for _, a := range c.accounts {
 		for r.connections[id] != nil && !a.fits(size) {
-			victim := oldest(&a.unfinished)
-			if waiting := oldest(&a.idle); victim == c && waiting != nil {
-				victim = waiting
-			}
-			if victim == nil {
-				victim = c
-			}
-			ended = append(ended, r.end(victim))
+			ended = append(ended, r.end(cmp.Or(victim(c, &a.unfinished, &a.idle, &a.answering), c)))
 		}
 	}
 	if r.connections[id] != nil {
@@ -186,6 +183,30 @@
 	return ended
 }
 
+// Answer adds a part of an answer to what a connection holds and returns the connections that must be closed.
+// It never ends the connection itself, whose request has run.
+func (r *Reserver) Answer(id ConnectionID, size identifier.Bytes) []Ended {
+	c := r.connections[id]
+	if c == nil {
+		return nil
+	}
+	if c.phase != answering {
+		c.enter(answering)
+	}
+	var ended []Ended
+	for _, a := range c.accounts {
+		for !a.fits(size) {
+			other := victim(c, &a.unfinished, &a.idle, &a.answering)
+			if other == nil {
+				break
+			}
+			ended = append(ended, r.end(other))
+		}
+	}
+	c.hold(size)
+	return ended
+}
+
 // Run notes that the request of a connection has arrived in full. It returns false if the request was ended
 // and must not run.
 func (r *Reserver) Run(id ConnectionID) bool {
@@ -249,6 +270,8 @@
 		return &a.idle
 	case unfinished:
 		return &a.unfinished
+	case answering:
+		return &a.answering
 	}
 	return nil
 }
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -35,7 +35,10 @@
 func hold(id int, units identifier.Bytes, ended ...int) step {
 	return step{"hold", id, "", units, ended}
 }
-func run(id int) step    { return step{"run", id, "", 0, nil} }
+func run(id int) step { return step{"run", id, "", 0, nil} }
+func answer(id int, units identifier.Bytes, ended ...int) step {
+	return step{"answer", id, "", units, ended}
+}
 func finish(id int) step { return step{"finish", id, "", 0, nil} }
 
 func (s step) apply(r *reserver.Reserver) []reserver.Ended {
@@ -45,6 +48,8 @@
 		return r.Open(id, s.client)
 	case "hold":
 		return r.Reserve(id, s.units*unit)
+	case "answer":
+		return r.Answer(id, s.units*unit)
 	case "run":
 		r.Run(id)
 	case "finish":
@@ -77,6 +82,11 @@
 		{"refuses a new connection if all others run requests", []step{
 			open(1, "a"), open(2, "a"), open(3, "a"), run(1), run(2), run(3), open(4, "a", 4),
 		}},
+		{"ends an answer that isn't read for a request", []step{open(1, "a"), hold(1, 2), run(1), answer(1, 4), open(2, "a"), hold(2, 1, 1)}},
+		{"ends unfinished requests and older answers for an answer", []step{
+			open(1, "a"), open(2, "a"), open(3, "a"), run(1), answer(1, 4), hold(2, 1), run(3), answer(3, 3, -2, 1),
+		}},
+		{"ends no answer for its own size", []step{open(1, "a"), hold(1, 6), run(1), answer(1, 3), answer(1, 3)}},
 		{"counts an answered request's connection as newly idle", []step{open(1, "a"), open(2, "a"), open(3, "a"), run(1), finish(1), open(4, "a", 2)}},
 	} {
 		ginkgo.It(c.name, func() {
