--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,6 +37,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/messenger"
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/internal/ranger"
+	"github.com/lagooncleat/lagooncleat/internal/screener"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -45,8 +46,6 @@
 const (
 	runnerSubsystem    reducer.Subsystem = "runner"
 	messengerSubsystem reducer.Subsystem = "messenger"
-	// headerTimeout limits the time to read the header of an HTTP request.
-	headerTimeout = 5 * time.Second
 )
 
 // Runner runs one host, which is an entry host, a control host or both.
@@ -58,6 +57,7 @@
 	caller    *caller.Caller
 	exchanger *exchanger.Exchanger
 	servers   map[ListenerIndex]*http.Server
+	screeners [listenerCount]*screener.Screener
 	listeners Listeners
 	journal   *journaler.Journaler
 	group     sync.WaitGroup
@@ -146,10 +146,15 @@
 }
 
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
-	return &Runner{
+	limitMemory(s)
+	r := &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
 		servers: map[ListenerIndex]*http.Server{},
 	}
+	for l := range listenerCount {
+		r.screeners[l] = r.newScreener(l)
+	}
+	return r
 }
 
 // serveOperators serves the interface for operators, and the metrics on an address of their own if
@@ -193,9 +198,10 @@
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	server := newServer(h)
+	limited := r.screeners[l].Limit(server, r.listeners[l])
 	r.servers[l] = server
 	r.group.Go(func() {
-		if err := server.Serve(r.listeners[l]); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
@@ -203,7 +209,7 @@
 
 // newServer returns an HTTP server that knows the distance to its clients.
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ConnContext: ranger.ConnContext}
+	return &http.Server{Handler: h, ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext}
 }
 
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
