pkg/reducer: operators evacuate failure domains

An operator must be able to order that nothing more is sent to the servers of a failure domain. The order is a command of the replicated log, so it survives what a declaration survives. It names the last order about the domain, read through the leader: a late copy can't undo a later order, and a control host that is behind acknowledges nothing on its own. Evacuated domains travel with the server list under a revision that rises also over a new log. mayTake, isClosed and acceptedFrom exclude their servers; when the evacuation ends, the chooser forgets what it measured of them.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -131,6 +131,13 @@
 	c.record(id).backOff(now)
 }
 
+// Reset discards what was measured of the server, as when it starts. Its attempts in flight stay.
+func (c *Chooser) Reset(id identifier.ServerID) {
+	if r, ok := c.records[id]; ok {
+		*r = record{incarnation: r.incarnation, inFlight: r.inFlight, inFlightByRank: r.inFlightByRank}
+	}
+}
+
 // Retain removes the records of servers that are no longer known and have no attempts in
 // flight.
 func (c *Chooser) Retain(known func(identifier.ServerID) bool) {
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -59,6 +59,8 @@
 	Source declarer.Source `msgpack:"d"`
 	// Departures are the recent departures of backend servers, in order of server and service.
 	Departures []RecordedDeparture `msgpack:"p"`
+	// Evacuations are the last orders about failure domains, in order of domain.
+	Evacuations []RecordedEvacuation `msgpack:"e"`
 }
 
 // replicated is the state that every control host maintains by applying commands.
@@ -68,10 +70,15 @@
 	source   committedDeclaration
 	// departures holds the departures of backend servers that were acknowledged.
 	departures departures
+	// evacuations holds the last order about each failure domain.
+	evacuations evacuationOrders
 }
 
 func newReplicated() replicated {
-	return replicated{registry: registrar.New(), ledger: deduplicator.New[Outcome](ledgerLimits), departures: departures{}}
+	return replicated{
+		registry: registrar.New(), ledger: deduplicator.New[Outcome](ledgerLimits), departures: departures{},
+		evacuations: evacuationOrders{},
+	}
 }
 
 // withProposalTime returns the command with the time at which the leader proposes it.
@@ -95,6 +102,9 @@
 	case ServersDeparted:
 		c.At = at
 		return c
+	case EvacuationOrdered:
+		c.At = at
+		return c
 	}
 	return c
 }
@@ -134,6 +144,9 @@
 	case ServersDeparted:
 		s.applyDepartures(c)
 		return Committed{}
+	case EvacuationOrdered:
+		s.applyEvacuation(c)
+		return Committed{}
 	}
 	panic(fmt.Sprintf("reducer: unknown command %T", c))
 }
@@ -146,6 +159,8 @@
 		Source:   s.control.replicated.source.Source,
 
 		Departures: s.control.replicated.departures.snapshot(),
+
+		Evacuations: s.control.replicated.evacuations.snapshot(),
 	}
 }
 
@@ -158,7 +173,10 @@
 		source:   committedDeclaration{c.Source},
 
 		departures: restoreDepartures(c.Departures),
+
+		evacuations: restoreEvacuations(c.Evacuations),
 	}
+	s.adoptEvacuations(s.control.replicated.evacuations.current())
 	for _, d := range c.Departures {
 		s.listDepartures(ServersDeparted{At: d.At, Departures: []Departure{d.Departure}})
 	}
@@ -204,5 +222,7 @@
 		s.answerOperation(p.waiter, readRegistry(s.control.replicated.registry, read))
 	case DeclarationRead:
 		s.answerOperation(p.waiter, s.answerDeclarationRead(read))
+	case EvacuationRead:
+		s.answerOperation(p.waiter, EvacuationFound{Revision: s.control.replicated.evacuations[read.Domain].Revision})
 	}
 }
--- a/pkg/reducer/configuration.go
+++ b/pkg/reducer/configuration.go
@@ -81,6 +81,8 @@
 		s.declare(e)
 	case DeclarationReadRequested:
 		s.readDeclaration(e)
+	case EvacuationRequested:
+		s.orderEvacuation(e)
 	}
 }
 
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -170,7 +170,7 @@
 		}
 		for b := range backends {
 			d := backends[b].Domain
-			if d != s.parameters.Domain && !backends[b].Silent && !slices.Contains(groups[d], i) {
+			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && !slices.Contains(groups[d], i) {
 				groups[d] = append(groups[d], i)
 			}
 		}
--- a/pkg/reducer/duty.go
+++ b/pkg/reducer/duty.go
@@ -22,6 +22,8 @@
 		// Detour is how much longer, in microseconds, an attempt within the local failure
 		// domain may take than one to a remote domain before the remote one is preferred.
 		Detour identifier.Micros
+		// Regions holds the region of each failure domain; it may be empty.
+		Regions map[identifier.DomainID]identifier.RegionID
 	}
 	// ControlDuty is the role of a host that stores the replicated log and the server list
 	// and serves both to entry hosts.
@@ -37,6 +39,8 @@
 		AnnouncementInterval identifier.Micros
 		// ExtraAttempts is as in EntryDuty; if its Window is 0, this host lends no extra attempts.
 		ExtraAttempts ExtraAttempts
+		// Regions is as in EntryDuty. If it is set, there are no other failure domains.
+		Regions map[identifier.DomainID]identifier.RegionID
 	}
 )
 
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -282,7 +282,7 @@
 		s.receiveProposal(w, o)
 	case AddMember, RemoveMember:
 		s.receiveMemberOperation(w, o)
-	case ObjectsRead, DeclarationRead:
+	case ObjectsRead, DeclarationRead, EvacuationRead:
 		s.control.operations.ticket++
 		ticket := s.control.operations.ticket
 		s.control.operations.inProgress[w] = true
@@ -367,6 +367,8 @@
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request, Answer: e.Answer}})
 	case departureOrigin:
 		s.answerDepartures(true)
+	case evacuationOrigin:
+		s.proposeEvacuation(o, e.Answer)
 	}
 }
 
@@ -380,5 +382,7 @@
 		s.emit(Send{To: s.parameters.Host, Event: IntentAnswered{Request: o.request}})
 	case departureOrigin:
 		s.answerDepartures(false)
+	case evacuationOrigin:
+		s.proposeEvacuation(o, nil)
 	}
 }
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -47,7 +47,7 @@
 	misdirectionBackoff = 5 * identifier.Second
 )
 
-// AcceptanceInvariant requires that a server that leaves or has asked for a pause gets no attempt.
+// AcceptanceInvariant requires that a server that leaves, has asked for a pause or is evacuated gets no attempt.
 const AcceptanceInvariant Invariant = "accepted-by-server"
 
 // LimitInvariant requires that a server gets no attempt beyond this host's share of its limit.
@@ -115,7 +115,7 @@
 		return
 	}
 	at := s.now.Add(ServerRetryInterval)
-	if from := s.acceptedFrom(p.service, q.rank); from > 0 {
+	if from := s.acceptedFrom(q, p.service); from > 0 {
 		if from >= s.acceptanceWaitEnd(q) {
 			p.acceptedFrom = from
 			s.count(UnavailablePiecesCounter, "", q.rank)
@@ -572,6 +572,7 @@
 	}
 	s.detectCrashes()
 	s.applyListedStatements(v)
+	s.resetReturned(v)
 }
 
 func formatServers(servers []identifier.ServerID) string {
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -127,6 +127,8 @@
 		// Brief is set by an entry host that looks for a control host to subscribe to: the answer is to
 		// leave out the servers and the declaration.
 		Brief bool `msgpack:"b"`
+		// Evacuations is the revision of the evacuations that the host knows.
+		Evacuations EvacuationRevision `msgpack:"e"`
 	}
 	// ServerListSent carries the changes of a control host's server list.
 	ServerListSent struct {
@@ -152,6 +154,8 @@
 		Place HostPosition `msgpack:"n"`
 		// Brief is set when the servers and the declaration are left out, as was requested.
 		Brief bool `msgpack:"b"`
+		// Evacuations are those in force, if they are newer than the receiver's.
+		Evacuations *Evacuations `msgpack:"v"`
 	}
 	// ServerWithdrawn reports that a backend server has announced its shutdown.
 	ServerWithdrawn struct {
@@ -208,6 +212,8 @@
 	version  identifier.Version
 	topology TopologyDigest
 	domain   identifier.DomainID
+	// evacuations is the revision of the evacuations that the host knows.
+	evacuations EvacuationRevision
 	// subscribed is set for an entry host that subscribes to this control host; other hosts
 	// only poll.
 	subscribed bool
@@ -262,14 +268,17 @@
 	// latestHostCounts are the last counts received, at countedAt.
 	countedAt        identifier.Instant
 	latestHostCounts HostCounts
+	// evacuations are those in force on this host.
+	evacuations Evacuations
 	// topologies holds the digest of the topology that each control host last sent.
 	topologies map[identifier.HostID]TopologyDigest
-	// storedRevision, storedVersion, storedEntryHosts and storedCrashes describe the snapshot on
-	// disk, which was written at storedAt.
-	storedRevision   ServerListRevision
-	storedVersion    identifier.Version
-	storedEntryHosts int
-	storedCrashes    int
+	// storedRevision, storedVersion, storedEntryHosts, storedCrashes and storedEvacuations describe the
+	// snapshot on disk, which was written at storedAt.
+	storedRevision    ServerListRevision
+	storedVersion     identifier.Version
+	storedEntryHosts  int
+	storedCrashes     int
+	storedEvacuations EvacuationRevision
 	// restoredEntryHosts are the entry hosts in the snapshot from before this host started; they
 	// count until it is synchronized.
 	restoredEntryHosts []router.Host
@@ -392,6 +401,8 @@
 	// Crashes are the crashes of servers that ran suspect requests, with their age when the snapshot
 	// was made.
 	Crashes []FingerprintCrashed `msgpack:"q"`
+	// Evacuations are the evacuations in force, of committed orders.
+	Evacuations Evacuations `msgpack:"e"`
 }
 
 // StoreServerList stores a snapshot in place of the previous one. The snapshot may be lost: without
@@ -401,8 +412,8 @@
 	Snapshot ServerListSnapshot
 }
 
-// storeServerList stores the list and the declaration if they have changed. A new declaration is
-// stored at once, since otherwise an older one would route requests after a restart.
+// storeServerList stores the list, the declaration and the evacuations if they have changed. The latter two are
+// stored at once, since otherwise older ones would route requests after a restart.
 func (s *State) storeServerList() {
 	sl := &s.control.serverList
 	source := s.control.replicated.source.Source
@@ -410,13 +421,14 @@
 	crashes := s.listCrashes()
 	changed := sl.revision != sl.storedRevision || len(hosts) != sl.storedEntryHosts || len(crashes) != sl.storedCrashes
 	due := changed && s.control.synchronized && s.now.Since(sl.storedAt) >= ServerListStoreInterval
-	if (!due && source.Version == sl.storedVersion) || s.control.replication.log == nil {
+	ordered := source.Version != sl.storedVersion || sl.evacuations.Revision != sl.storedEvacuations
+	if (!due && !ordered) || s.control.replication.log == nil {
 		return
 	}
 	sl.storedRevision, sl.storedVersion, sl.storedEntryHosts, sl.storedAt = sl.revision, source.Version, len(hosts), s.now
-	sl.storedCrashes = len(crashes)
+	sl.storedCrashes, sl.storedEvacuations = len(crashes), sl.evacuations.Revision
 	s.emit(StoreServerList{Snapshot: ServerListSnapshot{
-		Servers: sl.changesSince(0), Source: source, Readers: hosts, Crashes: crashes,
+		Servers: sl.changesSince(0), Source: source, Readers: hosts, Crashes: crashes, Evacuations: sl.evacuations,
 	}})
 }
 
@@ -428,6 +440,7 @@
 		s.control.replicated.source = committedDeclaration{stored.Source}
 		s.activateDeclaration()
 	}
+	s.adoptEvacuations(stored.Evacuations)
 	s.control.serverList.restoredEntryHosts = stored.Readers
 	for _, c := range stored.Crashes {
 		s.receiveCrash(c)
@@ -475,6 +488,7 @@
 	p.position = e.Held
 	p.version = e.Version
 	p.topology = e.Topology
+	p.evacuations = e.Evacuations
 	if e.Brief {
 		s.sendBrief(e.Host, p, s.allEntryHosts())
 		return
@@ -516,6 +530,7 @@
 		Source:       s.control.replicated.source.sourceAfter(to.version),
 		Lending:      s.lending(len(entryHosts)),
 		Place:        hostPosition(id, to.domain, entryHosts),
+		Evacuations:  sl.evacuations.after(to.evacuations),
 	}
 	from := to.position.Revision
 	if to.position.Started != s.control.started {
@@ -528,6 +543,7 @@
 	if message.Source != nil {
 		to.version = message.Source.Version
 	}
+	to.evacuations = max(to.evacuations, sl.evacuations.Revision)
 	s.emit(Send{To: id, Event: message})
 }
 
--- a/pkg/reducer/statement.go
+++ b/pkg/reducer/statement.go
@@ -257,6 +257,9 @@
 // mayTake reports whether a server may be sent an attempt of the rank now: it is not backed off, has a
 // connection to spare, and accepts one by what it says of itself.
 func (s *State) mayTake(b *Backend, r identifier.Rank) bool {
+	if b.Evacuated {
+		return false
+	}
 	a, ok := s.traffic.serverActivities[b.Server]
 	if !ok {
 		return true
@@ -265,25 +268,34 @@
 		a.said.acceptsAt(s.now, b, r) <= s.now
 }
 
-// isClosed reports whether a server leaves or has asked this host for a pause.
+// isClosed reports whether a server leaves, has asked this host for a pause or is evacuated.
 func (s *State) isClosed(b *Backend) bool {
 	a, ok := s.traffic.serverActivities[b.Server]
-	return ok && a.said.incarnation == b.Incarnation && (a.said.stated.Leaving || a.said.pausedUntil > s.now)
+	return b.Evacuated || ok && a.said.incarnation == b.Incarnation && (a.said.stated.Leaving || a.said.pausedUntil > s.now)
 }
 
-// acceptedFrom returns when the first server of a service accepts an attempt of the rank if none does
-// now by what they say of themselves; 0 otherwise.
-func (s *State) acceptedFrom(id identifier.ServiceID, r identifier.Rank) identifier.Instant {
+// acceptsAt returns when a server accepts an attempt of the request; Never if it leaves or is evacuated.
+func (s *State) acceptsAt(q *request, b *Backend) identifier.Instant {
+	if b.Evacuated {
+		return identifier.Never
+	}
+	if a, ok := s.traffic.serverActivities[b.Server]; ok {
+		return a.said.acceptsAt(s.now, b, q.rank)
+	}
+	return s.now
+}
+
+// acceptedFrom returns when the first server of a service accepts an attempt of the request if none does
+// now; 0 otherwise.
+func (s *State) acceptedFrom(q *request, id identifier.ServiceID) identifier.Instant {
 	first := identifier.Never
 	backends := s.traffic.view.Fleet.Backends[id]
 	for i := range backends {
-		a, ok := s.traffic.serverActivities[backends[i].Server]
-		if !ok {
+		if first = min(first, s.acceptsAt(q, &backends[i])); first <= s.now {
 			return 0
 		}
-		first = min(first, a.said.acceptsAt(s.now, &backends[i], r))
 	}
-	if len(backends) == 0 || first <= s.now {
+	if len(backends) == 0 {
 		return 0
 	}
 	return first
@@ -295,7 +307,7 @@
 	closed := 0
 	latest := identifier.Instant(0)
 	for i := range q.pieces {
-		if at := s.acceptedFrom(q.pieces[i].service, q.rank); at > 0 {
+		if at := s.acceptedFrom(q, q.pieces[i].service); at > 0 {
 			closed++
 			latest = max(latest, at)
 		}
@@ -326,14 +338,22 @@
 		backends := s.traffic.view.Fleet.Backends[q.pieces[i].service]
 		for n := range backends {
 			b := &backends[n]
-			if a, ok := s.traffic.serverActivities[b.Server]; ok && a.said.acceptsAt(s.now, b, q.rank) > s.now {
-				servers = append(servers, string(b.Server)+"="+a.said.reason(s.now))
+			if s.acceptsAt(q, b) > s.now {
+				servers = append(servers, string(b.Server)+"="+s.refusalReason(b))
 			}
 		}
 	}
 	return strings.Join(servers, " ")
 }
 
+// refusalReason returns why a server accepts no attempt, as logged.
+func (s *State) refusalReason(b *Backend) string {
+	if b.Evacuated {
+		return "evacuated"
+	}
+	return s.activity(b.Server).said.reason(s.now)
+}
+
 // hasLimits reports whether a server of the list limits its requests.
 func (sl *serverList) hasLimits() bool {
 	for _, l := range sl.servers {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -180,6 +180,8 @@
 		Topology:   s.control.serverList.topologies[id],
 		Subscribes: id == s.control.serverList.subscribedTo,
 		Brief:      brief,
+
+		Evacuations: s.control.serverList.evacuations.Revision,
 	}})
 }
 
@@ -187,6 +189,9 @@
 func (s *State) receiveServerList(e ServerListSent) {
 	sl := &s.control.serverList
 	s.updateTopology(e)
+	if e.Evacuations != nil {
+		s.adoptEvacuations(*e.Evacuations)
+	}
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		s.synchronizeServerList(e)
 		return
@@ -395,6 +400,7 @@
 		Place:       sl.place,
 		Delegates:   sl.delegates,
 		ControlHost: sl.subscribedTo,
+		Evacuated:   sl.evacuations.Domains,
 	}
 	for i := range sl.declaration.Services {
 		v.Services[sl.declaration.Services[i].ID] = &sl.declaration.Services[i]
@@ -407,6 +413,7 @@
 		a := l.Announcement
 		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{
 			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated,
+			Evacuated: slices.Contains(sl.evacuations.Domains, a.Domain),
 		})
 	}
 	return v
@@ -426,6 +433,8 @@
 	Delegates []router.Host
 	// ControlHost is the control host that this host subscribes to; empty while it searches for one.
 	ControlHost identifier.HostID
+	// Evacuated are the evacuated failure domains.
+	Evacuated []identifier.DomainID
 }
 
 // Backend is a backend server that may take work.
@@ -437,4 +446,6 @@
 	Degraded bool
 	// Stated is what the server says of itself to any host.
 	Stated ServerStatement
+	// Evacuated is set while the server's failure domain is evacuated; the server gets no attempt.
+	Evacuated bool
 }
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -66,6 +66,8 @@
 	unsentTallies map[identifier.ServerID]assessor.Tally
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
+	// evacuated are the evacuated failure domains of the view applied last.
+	evacuated []identifier.DomainID
 }
 
 // service holds what a state has measured of one service, and the service's hedge and retry
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -61,5 +61,8 @@
 		DeclarationRead{},
 		DeclarationFound{},
 		ServersDeparted{},
+		EvacuationOrdered{},
+		EvacuationRead{},
+		EvacuationFound{},
 	}
 }
--- a/pkg/reducer/view.go
+++ b/pkg/reducer/view.go
@@ -33,6 +33,8 @@
 	Fleet *FleetView
 	// Synchronized is set once the host knows the servers.
 	Synchronized bool
+	// Evacuated are the evacuated failure domains, as known to this host.
+	Evacuated []identifier.DomainID
 }
 
 // Ready reports whether the host can serve callers: a configuration is in force and the
@@ -74,6 +76,7 @@
 		Leaving:        c.leavingHosts(),
 		Control:        c.status,
 		Synchronized:   c.synchronized,
+		Evacuated:      c.serverList.evacuations.Domains,
 	}
 }
 
