pkg/reducer: requests with homes stay in their regions

A route can name homes. A request on it reaches only servers in failure domains of these regions, and is gathered only by hosts of domains whose servers it may reach; a delegate is told the homes and keeps to them. newHomes takes further lists, such as a customer's. A domain without a region is in no home.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -55,6 +55,8 @@
 		Payload   Payload           `msgpack:"p"`
 		// Fingerprint is that of the client's request.
 		Fingerprint identifier.Fingerprint `msgpack:"h"`
+		// Homes are the regions that may see the request, a list for each object that names some.
+		Homes [][]identifier.RegionID `msgpack:"o"`
 	}
 	// PartsDelivered carries parts gathered for another host, or names those that won't arrive.
 	PartsDelivered struct {
@@ -164,13 +166,14 @@
 		p := &q.pieces[i]
 		backends := s.traffic.view.Fleet.Backends[p.service]
 		if slices.ContainsFunc(backends, func(b Backend) bool {
-			return b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(&b) && !s.isClosed(&b)
+			return b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(&b) && !s.isClosed(&b) && s.mayServe(q, b.Domain)
 		}) {
 			continue
 		}
 		for b := range backends {
 			d := backends[b].Domain
-			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && !slices.Contains(groups[d], i) {
+			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && s.mayServe(q, d) &&
+				!slices.Contains(groups[d], i) {
 				groups[d] = append(groups[d], i)
 			}
 		}
@@ -208,7 +211,7 @@
 	d := &delegation{host: host, pieces: pieces, open: true}
 	message := PartsRequested{
 		From: s.parameters.Host, Request: q.Request, Rank: q.rank, Route: q.route.ID, TopK: q.route.TopK,
-		Remaining: q.deadline.Since(s.now), Payload: q.Payload, Fingerprint: q.Fingerprint,
+		Remaining: q.deadline.Since(s.now), Payload: q.Payload, Fingerprint: q.Fingerprint, Homes: q.homes,
 	}
 	typical := identifier.Micros(0)
 	for _, i := range pieces {
@@ -434,6 +437,7 @@
 		answerAt:  s.now.Add(e.Flush),
 		deadline:  s.now.Add(e.Remaining),
 		nextCheck: identifier.Never,
+		homes:     e.Homes,
 	}
 	q.partialAfter = q.deadline
 	for _, service := range e.Services {
--- a/pkg/reducer/evacuation_test.go
+++ b/pkg/reducer/evacuation_test.go
@@ -301,41 +301,40 @@
 	local, near, far := domain(0), domain(1), domain(2)
 	nearDelegate, farDelegate := identifier.DomainID("delegate near"), identifier.DomainID("delegate far")
 	for _, c := range []struct {
-		name    string
-		path    string
-		steps   func(e *entryHost)
+		name  string
+		path  string
+		steps func(e *entryHost)
+		// refused is set when the servers refuse the attempts; otherwise they don't answer.
+		refused bool
 		domains []identifier.DomainID
 	}{
-		{"goes to a server elsewhere", "/archive/", func(e *entryHost) { e.evacuate(local, near) }, []identifier.DomainID{far}},
-		{"is retried elsewhere", "/archive/", func(e *entryHost) { e.evacuate(near) }, []identifier.DomainID{far, local}},
-		{"is not hedged in the domain", "/search/", func(e *entryHost) { e.evacuate(near) }, []identifier.DomainID{far, local}},
+		{"goes to a server elsewhere", "/archive/", func(e *entryHost) { e.evacuate(local, near) }, false, []identifier.DomainID{far}},
+		{"is retried elsewhere", "/archive/", func(e *entryHost) { e.evacuate(near) }, true, []identifier.DomainID{far, local}},
+		{"is not hedged in the domain", "/search/", func(e *entryHost) { e.evacuate(near) }, false, []identifier.DomainID{far, local}},
 		{"is delegated to another domain", "/search/", func(e *entryHost) {
 			e.view.Delegates = []router.Host{{ID: "near", Domain: near}, {ID: "far", Domain: far}}
 			e.evacuate(local, near)
-		}, []identifier.DomainID{farDelegate, far}},
+		}, false, []identifier.DomainID{farDelegate, far}},
 		{"is not delegated to a domain whose servers it may not reach", "/search/", func(e *entryHost) {
 			e.view.Delegates = []router.Host{{ID: "near", Domain: near}}
 			e.evacuate(local, near)
-		}, []identifier.DomainID{far}},
+		}, true, []identifier.DomainID{far}},
 		{"is delegated as before when the evacuation has ended", "/search/", func(e *entryHost) {
 			e.view.Delegates = []router.Host{{ID: "near", Domain: near}}
 			e.evacuate(local, near)
 			e.evacuate(local)
-		}, []identifier.DomainID{nearDelegate, near, far}},
+		}, false, []identifier.DomainID{nearDelegate, near, far}},
 	} {
 		ginkgo.It(c.name, func() {
 			e := newEntryHost(entryFleetView())
 			c.steps(e)
 			e.sendRequest("q", c.path)
-			for i := 0; i < len(e.sent) && i < 12; i++ {
+			for i := 0; c.refused && i < len(e.sent) && i < 12; i++ {
 				e.refuse(i, reducer.ExchangeShed)
 			}
-			e.advance(searchTimeout)
+			e.advance(archiveTimeout)
 			slices.Sort(c.domains)
-			for _, d := range e.domainsSent(0) {
-				gomega.Expect(c.domains).To(gomega.ContainElement(d))
-			}
-			gomega.Expect(e.domainsSent(0)).To(gomega.ContainElement(c.domains[0]))
+			gomega.Expect(e.domainsSent(0)).To(gomega.Equal(c.domains))
 		})
 	}
 
@@ -399,3 +398,66 @@
 		gomega.Expect(requestLocally(20)).To(gomega.BeNumerically("<", 10))
 	})
 })
+
+var _ = ginkgo.Describe("a request with homes", func() {
+	const north, south = identifier.RegionID("north"), identifier.RegionID("south")
+	regions := map[identifier.DomainID]identifier.RegionID{domain(0): north, domain(1): south, domain(2): south}
+	for _, c := range []struct {
+		name    string
+		homes   []identifier.RegionID
+		regions map[identifier.DomainID]identifier.RegionID
+		// domains are all those that may get attempts or parts to gather; empty if the request is refused.
+		domains []identifier.DomainID
+	}{
+		{"reaches its regions only", []identifier.RegionID{north}, regions, []identifier.DomainID{domain(0)}},
+		{"reaches servers elsewhere from a host outside its homes", []identifier.RegionID{south}, regions, []identifier.DomainID{"delegate near", domain(1), domain(2)}},
+		{"reaches several regions", []identifier.RegionID{south, north}, regions, []identifier.DomainID{"delegate near", domain(0), domain(1), domain(2)}},
+		{"is refused when no server is in its homes", []identifier.RegionID{"west"}, regions, nil},
+		{"is refused when the settings name no regions", []identifier.RegionID{north}, nil, nil},
+		{"without homes reaches all", nil, regions, []identifier.DomainID{"delegate near", domain(0), domain(1), domain(2)}},
+	} {
+		for _, path := range []string{"/search/", "/archive/"} {
+			ginkgo.It(c.name+", on "+path, func() {
+				v := entryFleetView()
+				v.Delegates = []router.Host{{ID: "near", Domain: domain(1)}}
+				for i := range v.Declaration.Routes {
+					v.Declaration.Routes[i].Homes = c.homes
+				}
+				e := newEntryHostWith(v, c.regions)
+				e.sendRequest("q", path)
+				if c.domains == nil {
+					declined, ok := e.outcomes["q"].(reducer.Declined)
+					gomega.Expect(ok).To(gomega.BeTrue())
+					gomega.Expect(declined.Ran).To(gomega.Equal(reducer.RanNo))
+				}
+				for i := 0; i < len(e.sent) && i < 12; i++ {
+					e.refuse(i, reducer.ExchangeShed)
+				}
+				e.advance(searchTimeout)
+				for _, d := range e.domainsSent(0) {
+					gomega.Expect(c.domains).To(gomega.ContainElement(d))
+				}
+				gomega.Expect(e.domainsSent(0) == nil).To(gomega.Equal(c.domains == nil))
+			})
+		}
+	}
+
+	ginkgo.It("passes its homes on to the host that gathers parts, which keeps to them", func() {
+		v := entryFleetView()
+		v.Declaration.Routes[0].Homes = []identifier.RegionID{south}
+		v.Delegates = []router.Host{{ID: "near", Domain: domain(1)}}
+		e := newEntryHostWith(v, regions)
+		e.sendRequest("q", "/search/")
+		var asked reducer.PartsRequested
+		for _, m := range e.messages {
+			if p, ok := m.Event.(reducer.PartsRequested); ok {
+				asked = p
+			}
+		}
+		gomega.Expect(asked.Homes).To(gomega.Equal([][]identifier.RegionID{{south}}))
+		delegate := newEntryHostWith(entryFleetView(), regions)
+		delegate.reduce(asked)
+		gomega.Expect(delegate.domainsSent(0)).NotTo(gomega.ContainElement(domain(0)))
+		gomega.Expect(delegate.sent).To(gomega.HaveLen(shardCount))
+	})
+})
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -108,6 +108,7 @@
 		deadline:       s.now.Add(timeout - min(DeadlineMargin, timeout/deadlineMarginDivisor)),
 		nextCheck:      identifier.Never,
 		probing:        s.isSuspect(e.Fingerprint),
+		homes:          newHomes(route.Homes),
 	}
 	q.partialAfter = min(q.deadline, s.now.Add(2*route.TargetLatency))
 	for _, id := range s.targetServices(route) {
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -266,6 +266,8 @@
 	attempted, ran, answered bool
 	// probing is set while the request may crash servers: it has one attempt in flight at a time.
 	probing bool
+	// homes are the regions that may see the request.
+	homes homes
 	// losses counts the attempts whose servers closed the connection, and lostCalls describes those
 	// that this host sent.
 	losses    int
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -77,11 +77,17 @@
 }
 
 func newEntryHost(v *reducer.FleetView) *entryHost {
+	return newEntryHostWith(v, nil)
+}
+
+// newEntryHostWith returns an entry host whose settings name the regions of the failure domains.
+func newEntryHostWith(v *reducer.FleetView, regions map[identifier.DomainID]identifier.RegionID) *entryHost {
 	e := &entryHost{outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, wake: identifier.Never, view: v}
 	e.state = reducer.New(reducer.Parameters{
 		Host: "10.0.0.1:70", Domain: domain(0), Strict: true,
 		Duty: reducer.EntryDuty{
 			ExtraAttempts: reducer.ExtraAttempts{Share: 0.2, Slack: 30, Window: 10 * identifier.Second}, Detour: 25 * identifier.Millisecond,
+			Regions: regions,
 		},
 	})
 	e.reduce(reducer.Started{Seed: 1})
--- a/pkg/reducer/statement.go
+++ b/pkg/reducer/statement.go
@@ -274,9 +274,10 @@
 	return b.Evacuated || ok && a.said.incarnation == b.Incarnation && (a.said.stated.Leaving || a.said.pausedUntil > s.now)
 }
 
-// acceptsAt returns when a server accepts an attempt of the request; Never if it leaves or is evacuated.
+// acceptsAt returns when a server accepts an attempt of the request; Never if it leaves, is evacuated or is
+// outside the request's homes.
 func (s *State) acceptsAt(q *request, b *Backend) identifier.Instant {
-	if b.Evacuated {
+	if b.Evacuated || !s.mayServe(q, b.Domain) {
 		return identifier.Never
 	}
 	if a, ok := s.traffic.serverActivities[b.Server]; ok {
@@ -339,17 +340,20 @@
 		for n := range backends {
 			b := &backends[n]
 			if s.acceptsAt(q, b) > s.now {
-				servers = append(servers, string(b.Server)+"="+s.refusalReason(b))
+				servers = append(servers, string(b.Server)+"="+s.refusalReason(q, b))
 			}
 		}
 	}
 	return strings.Join(servers, " ")
 }
 
-// refusalReason returns why a server accepts no attempt, as logged.
-func (s *State) refusalReason(b *Backend) string {
-	if b.Evacuated {
+// refusalReason returns why a server accepts no attempt of the request, as logged.
+func (s *State) refusalReason(q *request, b *Backend) string {
+	switch {
+	case b.Evacuated:
 		return "evacuated"
+	case !s.mayServe(q, b.Domain):
+		return "outside-homes"
 	}
 	return s.activity(b.Server).said.reason(s.now)
 }
