--- a/pkg/reducer/evacuation_test.go
+++ b/pkg/reducer/evacuation_test.go
@@ -94,6 +94,10 @@
 				f.sendOrder(0, domain(2), i%2 == 1)
 			}
 			f.stopAll()
+			for i := range 3 {
+				// The stored server list holds the evacuations too.
+				f.hosts[controlName(i)].serverList = reducer.ServerListSnapshot{}
+			}
 			f.startAll()
 		}, one},
 		{"reaches a control host that was cut off meanwhile", func(f *smallFleet) {
@@ -188,6 +192,16 @@
 		}
 	})
 
+	ginkgo.It("is in force again on a control host that has restarted, before there is a leader", func() {
+		f := newSmallFleet()
+		begin(f, 0)
+		f.run(identifier.Second)
+		f.stopAll()
+		f.start(controlName(0))
+		f.run(identifier.Millisecond)
+		gomega.Expect(f.evacuated(controlName(0))).To(gomega.Equal(one))
+	})
+
 	ginkgo.It("about a domain that the settings don't name is rejected", func() {
 		f := newSmallFleet()
 		duty := f.hosts[controlName(0)].parameters.Duty.(reducer.ControlDuty)
@@ -401,6 +415,7 @@
 
 var _ = ginkgo.Describe("a request with homes", func() {
 	const north, south = identifier.RegionID("north"), identifier.RegionID("south")
+	three := map[identifier.DomainID]identifier.RegionID{domain(0): north, domain(1): "west", domain(2): south}
 	regions := map[identifier.DomainID]identifier.RegionID{domain(0): north, domain(1): south, domain(2): south}
 	for _, c := range []struct {
 		name    string
@@ -411,8 +426,9 @@
 	}{
 		{"reaches its regions only", []identifier.RegionID{north}, regions, []identifier.DomainID{domain(0)}},
 		{"reaches servers elsewhere from a host outside its homes", []identifier.RegionID{south}, regions, []identifier.DomainID{"delegate near", domain(1), domain(2)}},
+		{"is not gathered by a host outside its homes", []identifier.RegionID{south}, three, []identifier.DomainID{domain(2)}},
 		{"reaches several regions", []identifier.RegionID{south, north}, regions, []identifier.DomainID{"delegate near", domain(0), domain(1), domain(2)}},
-		{"is refused when no server is in its homes", []identifier.RegionID{"west"}, regions, nil},
+		{"is refused when no server is in its homes", []identifier.RegionID{"east"}, regions, nil},
 		{"is refused when the settings name no regions", []identifier.RegionID{north}, nil, nil},
 		{"without homes reaches all", nil, regions, []identifier.DomainID{"delegate near", domain(0), domain(1), domain(2)}},
 	} {
