--- a/internal/loader/fleet.go
+++ b/internal/loader/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -36,6 +37,22 @@
 	for i, a := range f.Seeds {
 		d.checkAddress(fmt.Sprintf("fleet.seeds[%d]", i), a)
 	}
+	for _, domain := range slices.Sorted(maps.Keys(f.Regions)) {
+		field := fmt.Sprintf("fleet.regions.%s", domain)
+		d.requireValue(field, string(f.Regions[domain]))
+		if domain == "" {
+			d.addFault("fleet.regions", "must name each failure domain")
+		}
+	}
+	if f.EvacuationMillis < 0 {
+		d.addFault("fleet.evacuation-ms", "must not be negative")
+	}
+}
+
+// KnownRegions returns the regions of the settings, sorted and without duplicates; none if the settings don't
+// name any.
+func (f *Fleet) KnownRegions() []identifier.RegionID {
+	return slices.Compact(slices.Sorted(maps.Values(f.Regions)))
 }
 
 // SeedHosts returns the hosts that the seeds name, sorted and without duplicates. It
--- a/internal/loader/fleet_test.go
+++ b/internal/loader/fleet_test.go
@@ -54,6 +54,11 @@
 		{"require an address for the load balancer", entrySettings, "  readiness: 10.0.0.1:81\n", "", "listen.readiness"},
 		{"require a data folder for control", controlSettings, "/data", `""`, "control.data-folder"},
 		{"require the announcement interval for control", controlSettings, "ms: 1200", "ms: 0", "fleet.announcement-interval-ms"},
+		{"may name the regions of failure domains", controlSettings + "  regions: {fd-1: north, fd-2: south}\n  evacuation-ms: 5000\n", "", "", ""},
+		{"may leave the regions empty", controlSettings + "  regions:\n", "", "", ""},
+		{"require a region for each failure domain", entrySettings + "  regions:\n    fd-1: north\n    fd-2:\n", "", "", ":15: fleet.regions.fd-2"},
+		{"require a name for each failure domain", entrySettings + "  regions:\n    \"\": north\n", "", "", ":13: fleet.regions"},
+		{"must not contain a negative time of evacuations", controlSettings + "  evacuation-ms: -1\n", "", "", ":14: fleet.evacuation-ms"},
 		{"must not contain negative limits", entrySettings, "slack: 52", "slack: -1", ":8: fleet"},
 	} {
 		ginkgo.It(c.name, func() {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -102,6 +102,12 @@
 	// DetourMillis is how much longer a backend server in the local failure domain may take
 	// before one in a remote domain is preferred, in milliseconds.
 	DetourMillis float64 `yaml:"detour-ms"`
+	// Regions holds the region of each failure domain of the deployment. Routes and customers name regions
+	// as their homes. It is optional.
+	Regions map[identifier.DomainID]identifier.RegionID `yaml:"regions"`
+	// EvacuationMillis is how soon an acknowledged order to evacuate a failure domain is in force, in
+	// milliseconds; 0 disables the orders.
+	EvacuationMillis float64 `yaml:"evacuation-ms"`
 }
 
 // Control holds the settings of the hosts that maintain the replicated log.
