--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -117,8 +117,10 @@
 // fleets run on.
 func platformAdapter() runner.Adapter {
 	return runner.Adapter{
+		Control: func(h *executor.Host, f *loader.Fleet, l hclog.Logger) http.Handler {
+			return platform.NewControlHandler(platform.ControlParameters{Regions: f.KnownRegions()}, h, l)
+		},
 		Clients:     func(h *executor.Host) http.Handler { return platform.NewClientHandler(h) },
-		Control:     func(h *executor.Host, l hclog.Logger) http.Handler { return platform.NewControlHandler(h, l) },
 		Readiness:   platform.NewReadinessHandler,
 		Codec:       platform.Codec{},
 		Interpreter: platform.ParseDeclaration,
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -28,7 +28,7 @@
 	// control host for backend servers and operators, and Readiness that of an entry host for
 	// the load balancer.
 	Clients   func(h *executor.Host) http.Handler
-	Control   func(h *executor.Host, logger hclog.Logger) http.Handler
+	Control   func(h *executor.Host, f *loader.Fleet, logger hclog.Logger) http.Handler
 	Readiness func(ready func() bool) http.Handler
 	// Codec encodes attempts for backend servers and decodes the responses.
 	Codec exchanger.Codec
@@ -68,7 +68,7 @@
 		r.serve(a.Clients(r.host), Callers)
 		r.serve(a.Readiness(r.Ready), Readiness)
 	case loader.FleetControl:
-		r.serve(a.Control(r.host, loggers.Logger(adapterSubsystem)), BackendServers)
+		r.serve(a.Control(r.host, s.Fleet, loggers.Logger(adapterSubsystem)), BackendServers)
 	}
 	r.servePeers()
 	r.logger.Info("host started", "host", s.Host, "failure-domain", s.Domain, "duty", s.Fleet.Duty)
