--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -118,7 +118,9 @@
 func platformAdapter() runner.Adapter {
 	return runner.Adapter{
 		Control: func(h *executor.Host, f *loader.Fleet, l hclog.Logger) http.Handler {
-			return platform.NewControlHandler(platform.ControlParameters{Regions: f.KnownRegions()}, h, l)
+			return platform.NewControlHandler(platform.ControlParameters{
+				Regions: f.KnownRegions(), Evacuation: f.EvacuationMillis > 0,
+			}, h, l)
 		},
 		Clients:     func(h *executor.Host) http.Handler { return platform.NewClientHandler(h) },
 		Readiness:   platform.NewReadinessHandler,
--- a/internal/executor/requests.go
+++ b/internal/executor/requests.go
@@ -53,6 +53,13 @@
 	return h.runOperation(ctx, ticket, reducer.DeclarationRequested{Ticket: ticket, Source: source})
 }
 
+// Evacuate commits an operator's order to begin or end the evacuation of a failure domain. If the context ends
+// first, it returns the context's error, and the order may have been accepted.
+func (h *Host) Evacuate(ctx context.Context, domain identifier.DomainID, ended bool) (reducer.ReplyOperator, error) {
+	ticket := h.newTicket()
+	return h.runOperation(ctx, ticket, reducer.EvacuationRequested{Ticket: ticket, Domain: domain, Ended: ended})
+}
+
 // Declaration performs a linearizable read of the declaration. It returns the context's
 // error if the context ends first.
 func (h *Host) Declaration(ctx context.Context) (reducer.ReplyOperator, error) {
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -94,12 +94,14 @@
 	if s.Fleet.Duty == loader.FleetEntry {
 		return reducer.EntryDuty{
 			Seeds: seeds, ExtraAttempts: extra,
-			Detour: identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
+			Detour:  identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
+			Regions: s.Fleet.Regions,
 		}
 	}
 	return reducer.ControlDuty{
 		Seeds: seeds, Founder: s.Fleet.Founder, Announcements: s.Listen.BackendServers,
 		AnnouncementInterval: identifier.Micros(s.Fleet.AnnouncementIntervalMillis) * identifier.Millisecond,
 		ExtraAttempts:        extra,
+		Regions:              s.Fleet.Regions,
 	}
 }
