--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -17,6 +17,8 @@
 	"io"
 
 	"github.com/google/subcommands"
+
+	"github.com/lagooncleat/lagooncleat/platform"
 )
 
 // Streams holds the writers for the results and the errors of a subcommand.
@@ -32,7 +34,7 @@
 	c.Register(c.CommandsCommand(), "")
 	c.Register(&serveCommand{streams: s}, "run")
 	c.Register(&demoCommand{streams: s}, "run")
-	c.Register(&checkCommand{streams: s}, "operate")
+	c.Register(&checkCommand{streams: s, declarations: platform.CheckDeclaration}, "operate")
 	c.Register(&applyCommand{streams: s}, "operate")
 	c.Register(&memberCommand{streams: s}, "operate")
 	c.Register(&getCommand{streams: s}, "operate")
