--- a/internal/runner/gauge.go
+++ b/internal/runner/gauge.go
@@ -1,6 +1,9 @@
 package runner
 
 import (
+	"fmt"
+	"slices"
+
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
@@ -17,6 +20,7 @@
 	{"lagooncleat_control_leader_known", func(v *reducer.View) float64 { return oneIf(v.Control.Leader != "") }},
 	{"lagooncleat_control_members", func(v *reducer.View) float64 { return float64(len(v.ControlMembers)) }},
 	{"lagooncleat_control_voters", func(v *reducer.View) float64 { return float64(v.ControlMembers.Voters()) }},
+	{"lagooncleat_evacuated_domains", func(v *reducer.View) float64 { return float64(len(v.Evacuated)) }},
 	{"lagooncleat_control_storage_failed", func(v *reducer.View) float64 { return oneIf(v.Control.StorageFailed) }},
 }
 
@@ -31,4 +35,13 @@
 	for _, g := range gauges {
 		m.RegisterGauge(g.name, func() float64 { return g.read(r.host.View()) })
 	}
+	if r.settings.Fleet == nil {
+		return
+	}
+	// The settings bound the number of labels.
+	for domain := range r.settings.Fleet.Regions {
+		m.RegisterGauge(fmt.Sprintf("lagooncleat_evacuated{domain=%q}", domain), func() float64 {
+			return oneIf(slices.Contains(r.host.View().Evacuated, domain))
+		})
+	}
 }
