--- a/internal/loader/deploy_test.go
+++ b/internal/loader/deploy_test.go
@@ -27,11 +27,11 @@
 		if match[1] != "zones" {
 			return strings.Repeat(match[2], min(1, len(values[match[1]])))
 		}
-		var parts strings.Builder
+		parts := ""
 		for _, z := range zones {
-			parts.WriteString(strings.NewReplacer("{{@}}", z[0], "{{.}}", z[1]).Replace(match[2]))
+			parts += strings.NewReplacer("{{@}}", z[0], "{{.}}", z[1]).Replace(match[2])
 		}
-		return parts.String()
+		return parts
 	})
 	return plainTag.ReplaceAllStringFunc(text, func(s string) string { return values[strings.Trim(s, "{}")] })
 }
@@ -46,8 +46,7 @@
 	}{
 		{"without zones and orders", nil, "", nil, 0},
 		{"with zones", [][2]string{{"z1", "north"}, {"z2", "south"}}, "", map[identifier.DomainID]identifier.RegionID{"z1": "north", "z2": "south"}, 0},
-		{"with orders", nil, "5000", nil, 5000},
-		{"with names that YAML reads as other types", [][2]string{{"1", "no"}}, "5000.0", map[identifier.DomainID]identifier.RegionID{"1": "no"}, 5000},
+		{"with orders, and names that YAML reads as other types", [][2]string{{"1", "no"}}, "5000.0", map[identifier.DomainID]identifier.RegionID{"1": "no"}, 5000},
 	} {
 		for _, file := range []string{"entry.yaml", "control.yaml"} {
 			ginkgo.It("give valid settings "+c.name+": "+file, func() {
