--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -166,13 +166,13 @@
 		p := &q.pieces[i]
 		backends := s.traffic.view.Fleet.Backends[p.service]
 		if slices.ContainsFunc(backends, func(b Backend) bool {
-			return b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(&b) && !s.isClosed(&b) && s.mayServe(q, b.Domain)
+			return b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(&b) && !s.isClosed(&b) && s.withinHomes(q, b.Domain)
 		}) {
 			continue
 		}
 		for b := range backends {
 			d := backends[b].Domain
-			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && s.mayServe(q, d) &&
+			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && s.withinHomes(q, d) &&
 				!slices.Contains(groups[d], i) {
 				groups[d] = append(groups[d], i)
 			}
--- a/pkg/reducer/homes.go
+++ b/pkg/reducer/homes.go
@@ -34,10 +34,10 @@
 	return true
 }
 
-// mayServe reports whether a request may reach the servers of a failure domain. A domain without a region is in
+// withinHomes reports whether a request may reach the servers of a failure domain. A domain without a region is in
 // no home. Hosts of the domain gather parts only if it holds: a body goes to no host outside the homes, except the
 // one to which the client is connected.
-func (s *State) mayServe(q *request, id identifier.DomainID) bool {
+func (s *State) withinHomes(q *request, id identifier.DomainID) bool {
 	if len(q.homes) == 0 {
 		return true
 	}
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -180,7 +180,7 @@
 		return false
 	}
 	s.require(!s.isClosed(backend), AcceptanceInvariant, string(backend.Server))
-	s.require(s.mayServe(q, backend.Domain), HomesInvariant, string(backend.Server))
+	s.require(s.withinHomes(q, backend.Domain), HomesInvariant, string(backend.Server))
 	if limit := s.activity(backend.Server).said.pacer; limit != nil {
 		s.require(limit.Take(s.now, limitReserve(q.rank)), LimitInvariant, string(backend.Server))
 	}
@@ -280,7 +280,7 @@
 	for i := range backends {
 		b := &backends[i]
 		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || !accept(b) ||
-			!s.mayServe(q, b.Domain) || !s.mayTake(b, q.rank) {
+			!s.withinHomes(q, b.Domain) || !s.mayTake(b, q.rank) {
 			continue
 		}
 		detour := identifier.Micros(0)
--- a/pkg/reducer/statement.go
+++ b/pkg/reducer/statement.go
@@ -277,7 +277,7 @@
 // acceptsAt returns when a server accepts an attempt of the request; Never if it leaves, is evacuated or is
 // outside the request's homes.
 func (s *State) acceptsAt(q *request, b *Backend) identifier.Instant {
-	if b.Evacuated || !s.mayServe(q, b.Domain) {
+	if b.Evacuated || !s.withinHomes(q, b.Domain) {
 		return identifier.Never
 	}
 	if a, ok := s.traffic.serverActivities[b.Server]; ok {
@@ -352,7 +352,7 @@
 	switch {
 	case b.Evacuated:
 		return "evacuated"
-	case !s.mayServe(q, b.Domain):
+	case !s.withinHomes(q, b.Domain):
 		return "outside-homes"
 	}
 	return s.activity(b.Server).said.reason(s.now)
