--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -118,6 +118,12 @@
 		Overage identifier.Ratio `yaml:"overage"`
 		Slack   float64          `yaml:"slack"`
 	} `yaml:"quota"`
+	// Regions holds the region of each failure domain of the deployment. Routes and customers name regions
+	// as their homes. It is optional.
+	Regions map[identifier.DomainID]identifier.RegionID `yaml:"regions"`
+	// EvacuationMillis is how soon an acknowledged order to evacuate a failure domain is in force, in
+	// milliseconds; 0 disables the orders.
+	EvacuationMillis float64 `yaml:"evacuation-ms"`
 }
 
 // Control holds the settings of the hosts that maintain the replicated log.
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -29,7 +29,7 @@
 	// control host for backend servers and operators, and Readiness that of an entry host for
 	// the load balancer.
 	Clients   func(h *executor.Host) http.Handler
-	Control   func(h *executor.Host, logger hclog.Logger) http.Handler
+	Control   func(h *executor.Host, f *loader.Fleet, logger hclog.Logger) http.Handler
 	Readiness func(ready func() bool) http.Handler
 	// Codec encodes attempts for backend servers and decodes the responses.
 	Codec exchanger.Codec
@@ -69,7 +69,7 @@
 		r.serve(a.Clients(r.host), Callers)
 		r.serve(a.Readiness(r.Ready), Readiness)
 	case loader.FleetControl:
-		r.serve(a.Control(r.host, loggers.Logger(adapterSubsystem)), BackendServers)
+		r.serve(a.Control(r.host, s.Fleet, loggers.Logger(adapterSubsystem)), BackendServers)
 	}
 	r.servePeers()
 	r.logger.Info("host started", "host", s.Host, "failure-domain", s.Domain, "duty", s.Fleet.Duty)
@@ -98,6 +98,7 @@
 			Detour:     identifier.Micros(s.Fleet.DetourMillis * float64(identifier.Millisecond)),
 			Revocation: identifier.Micros(s.Fleet.RevocationMillis) * identifier.Millisecond,
 			Quotas:     s.Fleet.Quota.WindowMillis > 0,
+			Regions:    s.Fleet.Regions,
 		}
 	}
 	return reducer.ControlDuty{
@@ -108,5 +109,6 @@
 			Window:  identifier.Micros(s.Fleet.Quota.WindowMillis) * identifier.Millisecond,
 			Overage: s.Fleet.Quota.Overage, Slack: s.Fleet.Quota.Slack,
 		},
+		Regions: s.Fleet.Regions,
 	}
 }
--- a/pkg/reducer/customer.go
+++ b/pkg/reducer/customer.go
@@ -48,6 +48,14 @@
 	return identifier.Rank(min(max(priority, 0), identifier.RankCount-1))
 }
 
+// customerHomes returns the regions that may see the requests of a customer; none if all may.
+func customerHomes(customer *declarer.Customer) []identifier.RegionID {
+	if customer == nil {
+		return nil
+	}
+	return customer.Homes
+}
+
 // customerID returns the ID of the request's customer; empty if it has none.
 func (q *request) customerID() identifier.CustomerID {
 	if q.customer == nil {
--- a/pkg/reducer/duty.go
+++ b/pkg/reducer/duty.go
@@ -28,6 +28,8 @@
 		Revocation identifier.Micros
 		// Quotas is set if the quotas of customers are enforced.
 		Quotas bool
+		// Regions holds the region of each failure domain; it may be empty.
+		Regions map[identifier.DomainID]identifier.RegionID
 	}
 	// ControlDuty is the role of a host that stores the replicated log and the server list
 	// and serves both to entry hosts.
@@ -45,6 +47,8 @@
 		ExtraAttempts ExtraAttempts
 		// Quotas is by how much customers may exceed their quotas. If its Window is 0, they have none.
 		Quotas permitter.Tolerance
+		// Regions is as in EntryDuty. If it is set, there are no other failure domains.
+		Regions map[identifier.DomainID]identifier.RegionID
 	}
 )
 
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -282,7 +282,7 @@
 		s.receiveProposal(w, o)
 	case AddMember, RemoveMember:
 		s.receiveMemberOperation(w, o)
-	case ObjectsRead, DeclarationRead:
+	case ObjectsRead, DeclarationRead, EvacuationRead:
 		s.control.operations.ticket++
 		ticket := s.control.operations.ticket
 		s.control.operations.inProgress[w] = true
@@ -369,6 +369,8 @@
 		s.answerDepartures(true)
 	case proofOrigin:
 		s.finishProof(e.Answer)
+	case evacuationOrigin:
+		s.proposeEvacuation(o, e.Answer)
 	}
 }
 
@@ -384,5 +386,7 @@
 		s.answerDepartures(false)
 	case proofOrigin:
 		s.finishProof(LeaderMissing{})
+	case evacuationOrigin:
+		s.proposeEvacuation(o, nil)
 	}
 }
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -47,7 +47,7 @@
 	misdirectionBackoff = 5 * identifier.Second
 )
 
-// AcceptanceInvariant requires that a server that leaves or has asked for a pause gets no attempt.
+// AcceptanceInvariant requires that a server that leaves, has asked for a pause or is evacuated gets no attempt.
 const AcceptanceInvariant Invariant = "accepted-by-server"
 
 // LimitInvariant requires that a server gets no attempt beyond this host's share of its limit.
@@ -119,7 +119,7 @@
 		return
 	}
 	at := s.now.Add(ServerRetryInterval)
-	if from := s.acceptedFrom(p.service, q.rank); from > 0 {
+	if from := s.acceptedFrom(q, p.service); from > 0 {
 		if from >= s.acceptanceWaitEnd(q) {
 			p.acceptedFrom = from
 			s.count(UnavailablePiecesCounter, "", q.rank)
@@ -185,6 +185,7 @@
 	}
 	s.require(q.credit != creditAwaited, CreditInvariant, q.Payload.ClientRequestID)
 	s.require(!s.isClosed(backend), AcceptanceInvariant, string(backend.Server))
+	s.require(s.withinHomes(q, backend.Domain), HomesInvariant, string(backend.Server))
 	if limit := s.activity(backend.Server).said.pacer; limit != nil {
 		s.require(limit.Take(s.now, limitReserve(q.rank)), LimitInvariant, string(backend.Server))
 	}
@@ -284,7 +285,8 @@
 	backends := s.traffic.view.Fleet.Backends[p.service]
 	for i := range backends {
 		b := &backends[i]
-		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || !accept(b) || !s.mayTake(b, q.rank) {
+		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || !accept(b) ||
+			!s.withinHomes(q, b.Domain) || !s.mayTake(b, q.rank) {
 			continue
 		}
 		detour := identifier.Micros(0)
@@ -585,6 +587,7 @@
 	}
 	s.detectCrashes()
 	s.applyListedStatements(v)
+	s.resetReturned(v)
 }
 
 func formatServers(servers []identifier.ServerID) string {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -175,14 +175,15 @@
 
 func (s *State) sendListRequest(id identifier.HostID, brief bool) {
 	s.emit(Send{To: id, Event: ServerListRequested{
-		Host:       s.parameters.Host,
-		Domain:     s.parameters.Domain,
-		Held:       s.control.serverList.positions[id],
-		Version:    s.control.version,
-		Topology:   s.control.serverList.topologies[id],
-		Subscribes: id == s.control.serverList.subscribedTo,
-		Brief:      brief,
-		Asked:      s.proofStamp(),
+		Host:        s.parameters.Host,
+		Domain:      s.parameters.Domain,
+		Held:        s.control.serverList.positions[id],
+		Version:     s.control.version,
+		Topology:    s.control.serverList.topologies[id],
+		Subscribes:  id == s.control.serverList.subscribedTo,
+		Brief:       brief,
+		Asked:       s.proofStamp(),
+		Evacuations: s.control.serverList.evacuations.Revision,
 	}})
 }
 
@@ -190,6 +191,9 @@
 func (s *State) receiveServerList(e ServerListSent) {
 	sl := &s.control.serverList
 	s.updateTopology(e)
+	if e.Evacuations != nil {
+		s.adoptEvacuations(*e.Evacuations)
+	}
 	if _, ok := s.parameters.Duty.(ControlDuty); ok {
 		s.synchronizeServerList(e)
 		return
@@ -402,6 +406,7 @@
 		ControlHost:  sl.subscribedTo,
 		Customers:    sl.customers,
 		ControlHosts: s.controlHostsByDistance(),
+		Evacuated:    sl.evacuations.Domains,
 	}
 	for i := range sl.declaration.Services {
 		v.Services[sl.declaration.Services[i].ID] = &sl.declaration.Services[i]
@@ -414,6 +419,7 @@
 		a := l.Announcement
 		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{
 			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated, Rejection: l.Rejection,
+			Evacuated: slices.Contains(sl.evacuations.Domains, a.Domain),
 		})
 	}
 	return v
@@ -450,6 +456,8 @@
 	Customers *authenticator.Authenticator
 	// ControlHosts are the known control hosts, those of the local failure domain first.
 	ControlHosts []identifier.HostID
+	// Evacuated are the evacuated failure domains.
+	Evacuated []identifier.DomainID
 }
 
 // Backend is a backend server that may take work.
@@ -463,4 +471,6 @@
 	Stated ServerStatement
 	// Rejection is the ratio of attempts that the server rejects as all hosts together measure it.
 	Rejection identifier.Ratio
+	// Evacuated is set while the server's failure domain is evacuated; the server gets no attempt.
+	Evacuated bool
 }
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -74,6 +74,8 @@
 	promptReportScheduled bool
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
+	// evacuated are the evacuated failure domains of the view applied last.
+	evacuated []identifier.DomainID
 }
 
 // service holds what a state has measured of one service, and the service's hedge and retry
