pkg/chooser: raise the cost of servers that state a queue or a slow machine

Cause: servers pause for 120 to 150 ms and slow down for 600 ms. A host sends a server one request in a second or two, so its own measurements show that too late.

Change: RecordLoad takes the load that an answer states. It counts beside the attempts in flight and the measured latencies, only raises the cost, by no more than the answer took, and decays with a half-life of 200 ms.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -1,5 +1,5 @@
-// Package chooser picks the backend server for an attempt, based only on what its
-// entry host measured.
+// Package chooser picks the backend server for an attempt, based on what its entry host
+// measured and on the load that servers have just stated.
 //
 // The cost of a server is the expected latency of a new attempt:
 //
@@ -12,8 +12,12 @@
 // for a time that doubles each time. A server that is slow or fails gets single probes,
 // which detect its recovery. A cold server gets a tenth of its share at first, and all of
 // it once it has served some attempts. Servers of nearly equal cost share the work at
-// random, so that hosts don't all pick the same one. Load reported by servers is ignored,
-// because it can be late or false.
+// random, so that hosts don't all pick the same one.
+//
+// A server may state its load in its answers. That can be late or false, so it raises the cost
+// of a server and never lowers it, by no more than the answer that stated it has taken itself,
+// and it decays within a fraction of a second. It answers servers that pause or slow down for a few hundred milliseconds, which
+// a host that sends a server one request in a second or two can't measure itself.
 //
 // # Usage
 //
@@ -21,6 +25,7 @@
 //	server, ok := c.Choose(now, candidates, random.IntN)
 //	c.RecordStart(server, rank)
 //	c.RecordLatency(now, server, latency)
+//	c.RecordLoad(now, server, chooser.Load{Running: 4, Waiting: 9, Slots: 4, Pace: 2.5}, latency)
 //	c.RecordEnd(server, rank)
 package chooser
 
@@ -218,11 +223,18 @@
 func (c *Chooser) cost(now identifier.Instant, candidate *Candidate, base baseline) float64 {
 	r := c.records[candidate.Server]
 	slowness := r.slowness(now, base.minEstimate)
-	cost := base.minEstimate * max(1, slowness/slownessTolerance) * (1 + float64(r.ahead(candidate.Rank))/float64(max(1, candidate.Slots)))
-	cost += float64(candidate.Detour)
+	slowness = max(1, slowness/slownessTolerance)
+	own := float64(r.ahead(candidate.Rank)) / float64(max(1, candidate.Slots))
+	cost := base.minEstimate * slowness * (1 + own)
+	// The attempts in flight may be among those that the server has stated, and a stated pace may
+	// explain the measured slowness, so the higher figure counts rather than the sum.
+	ahead, pace := r.statedLoad(now)
+	cost += min(base.minEstimate*max(slowness, pace)*(1+max(own, ahead))-cost, r.maxStatedWait)
+	distance := candidate.Detour
 	if latency := r.recentMinLatency(now); latency > 0 {
-		cost += float64(latency - base.minLatency)
+		distance += latency - base.minLatency
 	}
+	cost += float64(distance)
 	if r.backoffUntil > now {
 		return cost + restrictionCost + float64(r.backoffUntil.Since(now))*base.minEstimate
 	}
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -52,6 +52,11 @@
 	windowStart                         identifier.Instant
 	failures                            int
 	backoffUntil                        identifier.Instant
+	// load is what the server last stated of its load, at loadAt.
+	load   Load
+	loadAt identifier.Instant
+	// maxStatedWait limits the wait that is expected by the load, in microseconds.
+	maxStatedWait float64
 }
 
 // ahead returns how many attempts in flight go before a new one of the rank.
