--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -425,6 +425,7 @@
 	s.activity(a.server).lastAnswer = s.now
 	s.activity(a.server).unreachable = 0
 	s.recordStatement(a, e.Statement)
+	s.recordLoad(a, e.Load, latency)
 	if e.Answer.Success {
 		s.recordLatency(a, latency)
 		s.activity(a.server).failures = 0
@@ -491,6 +492,7 @@
 	}
 	if e.Reason == ExchangeShed {
 		s.recordStatement(a, e.Statement)
+		s.recordLoad(a, e.Load, 0)
 	}
 	s.recordFailure(a)
 	if q == nil {
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lagooncleat/lagooncleat/pkg/aimer"
+	"github.com/lagooncleat/lagooncleat/pkg/chooser"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -67,6 +68,8 @@
 		Answer  ServerAnswer
 		// Statement is what the server says of itself in the answer.
 		Statement ServerStatement
+		// Load is the load that the server states in the answer, if any.
+		Load chooser.Load
 	}
 	// ExchangeRefused reports an attempt that did not run.
 	ExchangeRefused struct {
@@ -74,8 +77,10 @@
 		Attempt identifier.AttemptID
 		Server  identifier.ServerID
 		Reason  ExchangeRefusal
-		// Statement is what the server says of itself; it is set for ExchangeShed only.
+		// Statement is what the server says of itself, and Load is the load that it states, if any;
+		// they are set for ExchangeShed only.
 		Statement ServerStatement
+		Load      chooser.Load
 	}
 	// ExchangeLost reports an attempt that may have run and whose answer will never arrive.
 	ExchangeLost struct {
