pkg/chooser, pkg/reducer: leave the domain of a busy server by the round trip

Cause: remote servers cost the fixed detour (25 ms) also while the local one states that work waits there for longer than the round trip.

Change: while the local servers state a load that delays an attempt, a remote one costs the measured round trip and 2 ms instead. The wait that is expected from a stated load is limited to the excess of the latency of the answer that stated it.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -15,9 +15,11 @@
 // random, so that hosts don't all pick the same one.
 //
 // A server may state its load in its answers. That can be late or false, so it raises the cost
-// of a server and never lowers it, by no more than the answer that stated it has taken itself,
-// and it decays within a fraction of a second. It answers servers that pause or slow down for a few hundred milliseconds, which
-// a host that sends a server one request in a second or two can't measure itself.
+// of a server and never lowers it, by no more than the answer that stated it was late itself,
+// and it decays within a fraction of a second. While the local server states that it is busy,
+// the measured round trip to a remote domain replaces the fixed detour. This answers servers
+// that pause or slow down for a few hundred milliseconds, which a host that sends a server
+// one request in a second or two can't measure itself.
 //
 // # Usage
 //
@@ -49,6 +51,9 @@
 	coldDrawShare = 0.9
 	// drawOutcomes is the number of outcomes of a draw.
 	drawOutcomes = 1000
+	// detourMargin is how much the expected wait at a busy local server must exceed the round trip
+	// before work leaves the local failure domain.
+	detourMargin = 2 * identifier.Millisecond
 	// tieMargin is the difference up to which costs count as equal, as a share of the
 	// service time.
 	tieMargin = 0.15
@@ -66,6 +71,10 @@
 	Slots identifier.Slots
 	// Detour is added to the cost of a server in a remote failure domain, in microseconds.
 	Detour identifier.Micros
+	// RoundTrip is the measured round trip to a server in a remote failure domain, in microseconds;
+	// 0 if it is unknown. It replaces Detour, with a margin, while a local server states that it is
+	// busy.
+	RoundTrip identifier.Micros
 }
 
 // Chooser holds the measurements of one state. It is not safe for concurrent use.
@@ -184,12 +193,15 @@
 	minEstimate float64
 	minLatency  identifier.Micros
 	minColdness float64
+	// localBusy is set while every local server states that an attempt takes longer than usual.
+	localBusy bool
 }
 
 // computeBaseline returns the minima that the candidates are compared with. It discards
 // the measurements of a server's previous incarnation.
 func (c *Chooser) computeBaseline(now identifier.Instant, candidates []Candidate) baseline {
 	base := baseline{minColdness: 1}
+	local, busy := 0, 0
 	for i := range candidates {
 		r := c.record(candidates[i].Server)
 		if r.incarnation != candidates[i].Incarnation {
@@ -202,7 +214,14 @@
 			base.minLatency = latency
 		}
 		base.minColdness = min(base.minColdness, c.coldness(&candidates[i]))
+		if candidates[i].Detour == 0 {
+			local++
+			if ahead, pace := r.statedLoad(now); ahead > 0 || pace > 1 {
+				busy++
+			}
+		}
 	}
+	base.localBusy = local > 0 && busy == local
 	base.minEstimate = max(1, base.minEstimate)
 	return base
 }
@@ -229,11 +248,14 @@
 	// The attempts in flight may be among those that the server has stated, and a stated pace may
 	// explain the measured slowness, so the higher figure counts rather than the sum.
 	ahead, pace := r.statedLoad(now)
-	cost += min(base.minEstimate*max(slowness, pace)*(1+max(own, ahead))-cost, r.maxStatedWait)
+	cost += min(base.minEstimate*max(slowness, pace)*(1+max(own, ahead))-cost, max(0, r.statedLatency-base.minEstimate))
 	distance := candidate.Detour
 	if latency := r.recentMinLatency(now); latency > 0 {
 		distance += latency - base.minLatency
 	}
+	if base.localBusy && candidate.RoundTrip > 0 {
+		distance = min(distance, candidate.RoundTrip+detourMargin)
+	}
 	cost += float64(distance)
 	if r.backoffUntil > now {
 		return cost + restrictionCost + float64(r.backoffUntil.Since(now))*base.minEstimate
--- a/pkg/chooser/load.go
+++ b/pkg/chooser/load.go
@@ -34,16 +34,16 @@
 
 // RecordLoad records the load that a server has stated at the instant in an answer with the latency, in
 // microseconds; 0 if it has refused the attempt. A server that answered fast has no long queue, so
-// the latency limits the wait that is expected. A load that was stated earlier than the recorded
+// the excess of the latency over that of the service limits the wait that is expected. A load that was stated earlier than the recorded
 // one is ignored.
 func (c *Chooser) RecordLoad(at identifier.Instant, id identifier.ServerID, l Load, latency identifier.Micros) {
 	r := c.record(id)
 	if !l.Stated() || at < r.loadAt {
 		return
 	}
-	r.load, r.loadAt, r.maxStatedWait = l, at, float64(latency)
+	r.load, r.loadAt, r.statedLatency = l, at, float64(latency)
 	if latency == 0 {
-		r.maxStatedWait = math.Inf(1)
+		r.statedLatency = math.Inf(1)
 	}
 }
 
--- a/pkg/chooser/load_test.go
+++ b/pkg/chooser/load_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -26,6 +27,8 @@
 	// own makes hosts record the loads in their answers; shared gives all hosts each load of the
 	// others with the delay of two messages through control hosts.
 	own, shared bool
+	// roundTrip is set if hosts know the round trip to remote domains.
+	roundTrip bool
 	// states changes what the server of a domain states.
 	states func(domain int, l chooser.Load) chooser.Load
 }
@@ -148,6 +151,9 @@
 			c := chooser.Candidate{Server: playedNames[d], Incarnation: 1, Slots: playedSlots}
 			if d != q.host%3 {
 				c.Detour = playedDetour
+				if p.roundTrip {
+					c.RoundTrip = 2 * p.oneWay
+				}
 			}
 			candidates = append(candidates, c)
 		}
@@ -279,7 +285,7 @@
 
 // mean returns the mean of the results of a few seeds.
 func (p play) mean() result {
-	const seeds = 8
+	const seeds = 16
 	var sum result
 	for seed := range uint64(seeds) {
 		r := p.run(seed)
@@ -298,9 +304,9 @@
 var uneven = play{hosts: 87, work: 25 * ms, oneWay: 4400, rate: 120, swing: 0.55, slowShare: 0.15}
 
 var _ = ginkgo.Describe("a chooser on many hosts whose servers pause and slow down", func() {
-	stating := func(states func(int, chooser.Load) chooser.Load) play {
+	stating := func(own, roundTrip bool, states func(int, chooser.Load) chooser.Load) play {
 		p := uneven
-		p.own, p.states = true, states
+		p.own, p.roundTrip, p.states = own, roundTrip, states
 		return p
 	}
 	fixed := func(figure chooser.Load) func(int, chooser.Load) chooser.Load {
@@ -311,6 +317,7 @@
 			return l
 		}
 	}
+	without := sync.OnceValue(uneven.mean)
 	// Guards against stated loads that do harm: late answers, work that leaves its domain without need,
 	// and work herded onto a server or away from it by figures that are false.
 	for _, c := range []struct {
@@ -322,10 +329,11 @@
 		// minShare and maxShare limit the share of first attempts of the first domain's server.
 		minShare, maxShare float64
 	}{
-		{"does better with the loads in its own answers", stating(nil), 0.95, 0.95, 0.015, 0.28, 0.40},
-		{"keeps work at a server that always states a full queue", stating(fixed(chooser.Load{Running: 4, Waiting: 24, Slots: 4, Pace: 2.5})), 1.05, 1.05, 0.06, 0.25, 0.40},
-		{"sends no more work to a server that always states to be idle", stating(fixed(chooser.Load{Slots: 4, Pace: 1})), 1, 1, 0.04, 0.28, 0.40},
-		{"is not misled by a server that states a random load", stating(func(d int, l chooser.Load) chooser.Load {
+		{"does better with the loads in its own answers", stating(true, false, nil), 0.95, 0.95, 0.015, 0.28, 0.40},
+		{"does better still with the round trip known", stating(true, true, nil), 0.8, 0.9, 0.03, 0.28, 0.40},
+		{"keeps work at a server that always states a full queue", stating(true, true, fixed(chooser.Load{Running: 4, Waiting: 24, Slots: 4, Pace: 2.5})), 1.05, 1.05, 0.06, 0.25, 0.40},
+		{"sends no more work to a server that always states to be idle", stating(true, true, fixed(chooser.Load{Slots: 4, Pace: 1})), 1, 1, 0.04, 0.28, 0.40},
+		{"is not misled by a server that states a random load", stating(true, true, func(d int, l chooser.Load) chooser.Load {
 			if d == 0 {
 				l.Waiting = (l.Waiting*7 + l.Running*11 + 5) % 24
 			}
@@ -333,7 +341,7 @@
 		}), 1.05, 1.05, 0.06, 0.25, 0.40},
 	} {
 		ginkgo.It(c.name, func() {
-			without, with := uneven.mean(), c.play.mean()
+			without, with := without(), c.play.mean()
 			ginkgo.GinkgoWriter.Printf("without loads: %+v\nwith loads: %+v\n", without, with)
 			gomega.Expect(with.late).To(gomega.BeNumerically("<=", c.late*without.late))
 			gomega.Expect(with.hedges).To(gomega.BeNumerically("<=", c.hedges*without.hedges))
--- a/pkg/chooser/record.go
+++ b/pkg/chooser/record.go
@@ -55,8 +55,9 @@
 	// load is what the server last stated of its load, at loadAt.
 	load   Load
 	loadAt identifier.Instant
-	// maxStatedWait limits the wait that is expected by the load, in microseconds.
-	maxStatedWait float64
+	// statedLatency is the latency of the answer that stated the load, in microseconds; infinite for a
+	// refusal.
+	statedLatency float64
 }
 
 // ahead returns how many attempts in flight go before a new one of the rank.
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -281,9 +281,9 @@
 		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || !accept(b) || !s.mayTake(b, q.rank) {
 			continue
 		}
-		detour := identifier.Micros(0)
+		detour, roundTrip := identifier.Micros(0), identifier.Micros(0)
 		if b.Domain != s.parameters.Domain {
-			detour = d.Detour
+			detour, roundTrip = d.Detour, s.roundTrip(b.Domain)
 		}
 		candidates = append(candidates, chooser.Candidate{
 			Server:      b.Server,
@@ -292,6 +292,7 @@
 			Rank:        q.rank,
 			Slots:       b.Slots,
 			Detour:      detour,
+			RoundTrip:   roundTrip,
 		})
 	}
 	s.traffic.candidates = candidates
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -62,6 +62,8 @@
 	splitters map[declarer.RouteID]*splitter.Splitter
 	// latenciesByRoute holds the latencies of each route's attempts, over all services.
 	latenciesByRoute map[declarer.RouteID]*hedger.Hedger
+	// latenciesByDomain holds the latencies of answers that state a load, by failure domain.
+	latenciesByDomain map[identifier.DomainID]*hedger.Hedger
 	// unsentTallies holds the measurements of servers not yet sent to control hosts.
 	unsentTallies map[identifier.ServerID]assessor.Tally
 	// measurementScheduled is set while a measurementDue timer is scheduled.
@@ -89,15 +91,16 @@
 		lostCalls:          map[identifier.ServerID][]lostCall{},
 		running:            map[deduplicator.Key]identifier.RequestID{},
 
-		requests:         map[identifier.RequestID]*request{},
-		requestAttempts:  map[identifier.AttemptID]*requestAttempt{},
-		delegateBackoffs: map[identifier.HostID]identifier.Instant{},
-		serverActivities: map[identifier.ServerID]*serverActivity{},
-		extraBudgets:     map[identifier.ServiceID]*throttler.Throttler{},
-		credit:           newCredit(),
-		splitters:        map[declarer.RouteID]*splitter.Splitter{},
-		latenciesByRoute: map[declarer.RouteID]*hedger.Hedger{},
-		unsentTallies:    map[identifier.ServerID]assessor.Tally{},
+		requests:          map[identifier.RequestID]*request{},
+		requestAttempts:   map[identifier.AttemptID]*requestAttempt{},
+		delegateBackoffs:  map[identifier.HostID]identifier.Instant{},
+		serverActivities:  map[identifier.ServerID]*serverActivity{},
+		extraBudgets:      map[identifier.ServiceID]*throttler.Throttler{},
+		credit:            newCredit(),
+		splitters:         map[declarer.RouteID]*splitter.Splitter{},
+		latenciesByRoute:  map[declarer.RouteID]*hedger.Hedger{},
+		latenciesByDomain: map[identifier.DomainID]*hedger.Hedger{},
+		unsentTallies:     map[identifier.ServerID]assessor.Tally{},
 	}
 }
 
