pkg/ramper, pkg/chooser, pkg/reducer: ramp up new servers by the measurements of all hosts

Cause: a server that starts cold gets a tenth of its work from each host until that host has had 20 answers from it. A host that sends it a request in a second or two needs half a minute for that.

Change: pkg/ramper finds the share of work of a new server from the tallies that entry hosts report to their control host. The share is listed with the server, and each host draws at random whether a piece may go there. It replaces the coldness draws for servers of the own failure domain that state their load; all others, and hosts without a control host, are as before.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -71,6 +71,9 @@
 	Slots identifier.Slots
 	// Detour is added to the cost of a server in a remote failure domain, in microseconds.
 	Detour identifier.Micros
+	// Ramped is set if hosts together find the server's share of work, as long as it is new. Its
+	// coldness doesn't count then.
+	Ramped bool
 	// RoundTrip is the measured round trip to a server in a remote failure domain, in microseconds;
 	// 0 if it is unknown. It replaces Detour, with a margin, while a local server states that it is
 	// busy.
@@ -227,8 +230,11 @@
 }
 
 // coldness returns 1 for a server that reports that it is starting, or else the fraction of its
-// first warmUpAttempts attempts that it has yet to serve.
+// first warmUpAttempts attempts that it has yet to serve; 0 for a ramped one.
 func (c *Chooser) coldness(candidate *Candidate) float64 {
+	if candidate.Ramped {
+		return 0
+	}
 	if candidate.Starting {
 		return 1
 	}
--- a/pkg/chooser/load_test.go
+++ b/pkg/chooser/load_test.go
@@ -29,6 +29,8 @@
 	own, shared bool
 	// roundTrip is set if hosts know the round trip to remote domains.
 	roundTrip bool
+	// recovery is a fault of the first domain's server and its end; nil for none.
+	recovery *recovery
 	// states changes what the server of a domain states.
 	states func(domain int, l chooser.Load) chooser.Load
 }
@@ -57,6 +59,8 @@
 	start        identifier.Instant
 	tried        []int
 	hedged, done bool
+	// draw decides whether the request may go to a server that gets a part of its work.
+	draw float64
 }
 
 // step is an event of the play, ordered by time.
@@ -149,13 +153,16 @@
 				continue
 			}
 			c := chooser.Candidate{Server: playedNames[d], Incarnation: 1, Slots: playedSlots}
+			p.recovery.apply(now, d, &c)
 			if d != q.host%3 {
 				c.Detour = playedDetour
 				if p.roundTrip {
 					c.RoundTrip = 2 * p.oneWay
 				}
 			}
-			candidates = append(candidates, c)
+			if !p.recovery.avoids(q, d) {
+				candidates = append(candidates, c)
+			}
 		}
 		x := choosers[q.host]
 		id, ok := x.Choose(now, candidates, random.IntN)
@@ -164,6 +171,7 @@
 		}
 		d := slices.Index(playedNames, id)
 		q.tried = append(q.tried, d)
+		p.recovery.recordStart(now, q, d)
 		if !q.hedged {
 			r.shares[d]++
 		}
@@ -180,6 +188,7 @@
 			l := stated(d, now)
 			at(now.Add(oneWay), func(now identifier.Instant) {
 				x.RecordEnd(id, identifier.Urgent)
+				p.recovery.recordEnd(q, d, now.Since(sent), refused)
 				if refused {
 					x.RecordFailure(now, id)
 					if !q.done && len(q.tried) < 3 {
@@ -211,13 +220,14 @@
 				}
 				if !refused && !q.done {
 					q.done = true
+					p.recovery.recordDone(now, q)
 					latencies = append(latencies, now.Since(q.start))
 				}
 			})
 		}
 		at(now.Add(oneWay), func(now identifier.Instant) {
 			s := servers[d]
-			if s.running+len(s.waiting) >= playedSlots+playedQueue {
+			if s.running+len(s.waiting) >= playedSlots+playedQueue || p.recovery.fails(now, d, random) {
 				finish(now, true)
 				return
 			}
@@ -226,6 +236,7 @@
 				if slowUntil[d] > now {
 					work *= 2.5
 				}
+				work *= p.recovery.slowness(now, d)
 				// A paused server neither begins nor ends work.
 				end := s.pauses(s.pauses(now).Add(identifier.Micros(work)))
 				at(end, func(now identifier.Instant) {
@@ -248,7 +259,7 @@
 				return
 			}
 			total++
-			q := &playedRequest{host: h, start: now}
+			q := &playedRequest{host: h, start: now, draw: random.Float64()}
 			send(now, q)
 			at(now.Add(playedTarget-2*p.work-4*ms), func(now identifier.Instant) {
 				if !q.done {
@@ -261,6 +272,14 @@
 		}
 		at(next(0), arrive)
 	}
+	if p.recovery != nil {
+		var report func(identifier.Instant)
+		report = func(now identifier.Instant) {
+			p.recovery.report(now, p.hosts)
+			at(now.Add(reportInterval/identifier.Micros(p.hosts)), report)
+		}
+		at(0, report)
+	}
 	for queue.Len() > 0 && queue[0].at < identifier.Instant(playedDuration+identifier.Second) {
 		x := heap.Pop(&queue).(step)
 		x.run(x.at)
--- a/pkg/reducer/assessment.go
+++ b/pkg/reducer/assessment.go
@@ -38,6 +38,8 @@
 type Measurement struct {
 	Server identifier.ServerID `msgpack:"s"`
 	Tally  assessor.Tally      `msgpack:"t"`
+	// StatesLoad is set if the server has stated its load since the last report.
+	StatesLoad bool `msgpack:"l"`
 }
 
 // handleMeasurements handles the report of an entry host, and notifies subscribers of any change in
@@ -59,7 +61,7 @@
 }
 
 // updateVerdicts adds the tallies of one host to the evidence about its servers. It reports
-// whether a server has become degraded or has recovered.
+// whether a server has become degraded or has recovered, or the share of a new one has changed.
 func (s *State) updateVerdicts(e ServersMeasured) bool {
 	sl := &s.control.serverList
 	before := sl.revision
@@ -68,6 +70,7 @@
 		if !ok || server.Standing == Left || server.Standing == Displaced {
 			continue
 		}
+		s.updateShare(server, m)
 		degraded, changed := sl.assessor.Add(s.now, m.Server, m.Tally)
 		if !changed {
 			continue
@@ -151,13 +154,16 @@
 func (s *State) sendMeasurements() {
 	report := ServersMeasured{From: s.parameters.Host}
 	for _, id := range sortedKeys(s.traffic.unsentTallies) {
-		report.Servers = append(report.Servers, Measurement{Server: id, Tally: s.traffic.unsentTallies[id]})
+		report.Servers = append(report.Servers, Measurement{
+			Server: id, Tally: s.traffic.unsentTallies[id], StatesLoad: s.traffic.loadStated[id],
+		})
 	}
 	for _, id := range sortedKeys(s.traffic.credit.unreported) {
 		report.Borrowed = append(report.Borrowed, Borrowed{Service: id, Count: s.traffic.credit.unreported[id]})
 	}
 	s.traffic.measurementScheduled = false
 	clear(s.traffic.unsentTallies)
+	clear(s.traffic.loadStated)
 	clear(s.traffic.credit.unreported)
 	if fleet := s.traffic.view.Fleet; fleet != nil && fleet.ControlHost != "" {
 		s.emit(Send{To: fleet.ControlHost, Event: report})
@@ -166,15 +172,18 @@
 
 // newPiece returns a piece for a service. A random few may probe degraded servers.
 func (s *State) newPiece(id identifier.ServiceID) piece {
-	p := piece{service: id, retryAt: identifier.Never}
+	p := piece{service: id, retryAt: identifier.Never, rampDraw: s.drawRamp(id)}
 	if slices.ContainsFunc(s.traffic.view.Fleet.Backends[id], func(b Backend) bool { return b.Degraded }) {
 		p.mayProbe = s.random.IntN(probeDivisor) == 0
 	}
 	return p
 }
 
-// avoids reports whether a piece is kept away from a degraded server. A few pieces are sent
-// there to detect whether it has recovered.
+// avoids reports whether a piece is kept away from a degraded server, or from a new one that gets a share of its
+// work. A few pieces are sent to a degraded server to detect whether it has recovered.
 func (p *piece) avoids(b *Backend) bool {
-	return b.Degraded && !p.mayProbe
+	if b.Degraded {
+		return !p.mayProbe
+	}
+	return p.rampDraw > 0 && b.Share > 0 && p.rampDraw >= b.Share
 }
--- a/pkg/reducer/load.go
+++ b/pkg/reducer/load.go
@@ -16,6 +16,7 @@
 	if !ok || b.Incarnation != a.incarnation {
 		return
 	}
+	s.traffic.loadStated[a.server] = true
 	s.traffic.chooser.RecordLoad(s.now, a.server, l, latency)
 	if latency > 0 {
 		s.domainLatencies(b.Domain).Observe(identifier.Urgent, latency)
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -293,6 +293,7 @@
 			Slots:       b.Slots,
 			Detour:      detour,
 			RoundTrip:   roundTrip,
+			Ramped:      s.isRamped(b),
 		})
 	}
 	s.traffic.candidates = candidates
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -302,6 +302,9 @@
 	acceptedFrom identifier.Instant
 	// mayProbe is set when the piece may be sent to a degraded server.
 	mayProbe bool
+	// rampDraw is a random number that decides whether the piece may be sent to a new server; 0 if the service
+	// has none.
+	rampDraw identifier.Ratio
 }
 
 // requestAttempt is one attempt of a request. It is kept until its exchange ends, which may be
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -13,6 +13,7 @@
 	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/lender"
 	"github.com/lagooncleat/lagooncleat/pkg/matcher"
+	"github.com/lagooncleat/lagooncleat/pkg/ramper"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
@@ -98,6 +99,9 @@
 	Degraded bool `msgpack:"d"`
 	// Stated is what the server says of itself in its answers to any host.
 	Stated ServerStatement `msgpack:"t"`
+	// Share is the share of its usual work that the server gets from its failure domain; 0 while it is not
+	// known to state its load.
+	Share identifier.Ratio `msgpack:"h"`
 	// changed is when the status or what routing depends on last changed, by the clock of the
 	// host that keeps the list.
 	changed identifier.Instant
@@ -280,6 +284,8 @@
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
 	lender   *lender.Lender
+	// ramper finds the shares of work of new servers from the same measurements.
+	ramper *ramper.Ramper
 }
 
 type controlHost struct {
@@ -301,6 +307,7 @@
 		controlHosts:          map[identifier.HostID]controlHost{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
+		ramper:                ramper.New(),
 		lender:                lender.New(window),
 	}
 }
@@ -319,9 +326,10 @@
 	sl.revision++
 	listed := &ListedServer{Announcement: a, Standing: status, Revision: sl.revision, changed: now}
 	if ok && previous.Announcement.Incarnation == a.Incarnation {
-		listed.Degraded, listed.Stated = previous.Degraded, previous.Stated
+		listed.Degraded, listed.Stated, listed.Share = previous.Degraded, previous.Stated, previous.Share
 	} else {
 		sl.assessor.Remove(a.Server)
+		listed.Share = sl.startShare(previous, a)
 	}
 	sl.servers[a.Server] = listed
 	if status != Left && status != Displaced {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -328,17 +328,17 @@
 	return l.Announcement.Incarnation < known.Announcement.Incarnation || l.shutdownStage() < known.shutdownStage()
 }
 
-// updateReported records what hosts report of a server: whether it is degraded, and what it says of
-// itself. Only the control host that this host subscribes to counts: others rely on measurements from
+// updateReported records what hosts report of a server: whether it is degraded, what it says of
+// itself, and its share of work. Only the control host that this host subscribes to counts: others rely on measurements from
 // hosts in remote failure domains. It reports whether anything has changed.
 func (s *State) updateReported(from identifier.HostID, l ListedServer) bool {
 	known, ok := s.control.serverList.servers[l.Announcement.Server]
 	if !ok || from != s.control.serverList.subscribedTo ||
-		(known.Degraded == l.Degraded && known.Stated == l.Stated) ||
+		(known.Degraded == l.Degraded && known.Stated == l.Stated && known.Share == l.Share) ||
 		known.Announcement.Incarnation != l.Announcement.Incarnation {
 		return false
 	}
-	known.Degraded, known.Stated = l.Degraded, l.Stated
+	known.Degraded, known.Stated, known.Share = l.Degraded, l.Stated, l.Share
 	return true
 }
 
@@ -405,9 +405,11 @@
 			continue
 		}
 		a := l.Announcement
-		v.Backends[a.Service] = append(v.Backends[a.Service], Backend{
-			Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated,
-		})
+		b := Backend{Announcement: a, Silent: l.Standing == Silent, Degraded: l.Degraded, Stated: l.Stated}
+		if a.Domain == s.parameters.Domain {
+			b.Share = l.Share
+		}
+		v.Backends[a.Service] = append(v.Backends[a.Service], b)
 	}
 	return v
 }
@@ -437,4 +439,7 @@
 	Degraded bool
 	// Stated is what the server says of itself to any host.
 	Stated ServerStatement
+	// Share is the share of its usual work that the server gets while it is new; 0 if it doesn't state its
+	// load, or is in a remote failure domain, whose hosts this host's control host doesn't hear.
+	Share identifier.Ratio
 }
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -66,6 +66,8 @@
 	latenciesByDomain map[identifier.DomainID]*hedger.Hedger
 	// unsentTallies holds the measurements of servers not yet sent to control hosts.
 	unsentTallies map[identifier.ServerID]assessor.Tally
+	// loadStated holds the servers that have stated their load since the last report to control hosts.
+	loadStated map[identifier.ServerID]bool
 	// measurementScheduled is set while a measurementDue timer is scheduled.
 	measurementScheduled bool
 }
@@ -101,6 +103,7 @@
 		latenciesByRoute:  map[declarer.RouteID]*hedger.Hedger{},
 		latenciesByDomain: map[identifier.DomainID]*hedger.Hedger{},
 		unsentTallies:     map[identifier.ServerID]assessor.Tally{},
+		loadStated:        map[identifier.ServerID]bool{},
 	}
 }
 
