pkg/chooser: drop the played sharing of stated loads from the test

Cause: the played load could share stated loads through control hosts, which the program doesn't do.

Result: go test ./pkg/chooser passes.

--- a/pkg/chooser/load_test.go
+++ b/pkg/chooser/load_test.go
@@ -24,9 +24,8 @@
 	rate, swing float64
 	// slowShare is the share of time in which a machine is 2.5 times slower, for 0.6 s at a time.
 	slowShare float64
-	// own makes hosts record the loads in their answers; shared gives all hosts each load of the
-	// others with the delay of two messages through control hosts.
-	own, shared bool
+	// own makes hosts record the loads in their answers.
+	own bool
 	// roundTrip is set if hosts know the round trip to remote domains.
 	roundTrip bool
 	// recovery is a fault of the first domain's server and its end; nil for none.
@@ -41,17 +40,16 @@
 	playedQueue    = 24
 	playedDetour   = 25 * ms
 	playedTarget   = 150 * ms
-	// reportInterval is that of reports to control hosts; relayDelay covers both messages.
+	// reportInterval is that of reports to control hosts.
 	reportInterval = 400 * ms
-	relayDelay     = 10 * ms
 )
 
 // result is what a play measured.
 type result struct {
-	p50, p99        identifier.Micros
-	late, remote    float64
-	hedges, useless float64
-	shares          [3]float64
+	p99          identifier.Micros
+	late, remote float64
+	hedges       float64
+	shares       [3]float64
 }
 
 type playedRequest struct {
@@ -183,7 +181,7 @@
 			oneWay = p.oneWay
 		}
 		x.RecordStart(id, identifier.Urgent)
-		sent, hedge := now, q.hedged
+		sent := now
 		finish := func(now identifier.Instant, refused bool) {
 			l := stated(d, now)
 			at(now.Add(oneWay), func(now identifier.Instant) {
@@ -205,19 +203,6 @@
 				if p.own {
 					x.RecordLoad(now, id, l, took)
 				}
-				if p.shared {
-					reported := reportInterval - identifier.Micros(now)%reportInterval + relayDelay
-					at(now.Add(reported), func(identifier.Instant) {
-						for h := range choosers {
-							if h%3 == q.host%3 {
-								choosers[h].RecordLoad(now, id, l, took)
-							}
-						}
-					})
-				}
-				if hedge && q.done {
-					r.useless++
-				}
 				if !refused && !q.done {
 					q.done = true
 					p.recovery.recordDone(now, q)
@@ -285,7 +270,7 @@
 		x.run(x.at)
 	}
 	slices.Sort(latencies)
-	r.p50, r.p99 = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
+	r.p99 = latencies[len(latencies)*99/100]
 	for _, l := range latencies {
 		if l > playedTarget {
 			r.late++
@@ -295,7 +280,6 @@
 	r.late = (r.late + n - float64(len(latencies))) / n
 	r.remote /= n
 	r.hedges /= n
-	r.useless /= n
 	for d := range r.shares {
 		r.shares[d] /= n
 	}
