pkg/ramper, pkg/reducer: keep the ramp with the listed server, and ramp up servers that are cold again

Cause: ramps of servers that are gone stayed in a map, and a server that becomes cold without a restart got no ramp although hosts no longer count its coldness.

Change: a Ramper is the ramp of one server and goes with its entry in the list. An announcement that turns to starting begins a ramp.

--- a/pkg/chooser/recovery_test.go
+++ b/pkg/chooser/recovery_test.go
@@ -58,7 +58,7 @@
 }
 
 func newRecovery(f fault, ramps bool) *recovery {
-	return &recovery{fault: f, ramps: ramps, assessor: assessor.New(), ramper: ramper.New(), tallies: map[int]assessor.Tally{}, share: ramper.FullShare}
+	return &recovery{fault: f, ramps: ramps, assessor: assessor.New(), tallies: map[int]assessor.Tally{}, share: ramper.FullShare}
 }
 
 func (r *recovery) apply(now identifier.Instant, d int, c *chooser.Candidate) {
@@ -74,7 +74,8 @@
 	r.started, r.degraded = true, false
 	r.assessor.Remove("s")
 	if r.ramps {
-		r.share = r.ramper.Start("s")
+		r.ramper = ramper.New()
+		r.share = r.ramper.Share()
 	}
 }
 
@@ -155,15 +156,15 @@
 	degraded, changed := r.assessor.Add(now, "s", t)
 	if changed {
 		r.degraded = degraded
-		r.ramper.Remove("s")
-		r.share = ramper.FullShare
+		r.ramper, r.share = nil, ramper.FullShare
 		if !degraded && r.ramps {
-			r.share = r.ramper.Start("s")
+			r.ramper = ramper.New()
+			r.share = r.ramper.Share()
 		}
 		return
 	}
-	if !degraded {
-		r.share, _ = r.ramper.Add("s", t.Answers, t.Poor)
+	if r.ramper != nil {
+		r.share = r.ramper.Add(t.Answers, t.Poor)
 	}
 }
 
--- a/pkg/ramper/example_test.go
+++ b/pkg/ramper/example_test.go
@@ -8,13 +8,11 @@
 
 func Example() {
 	r := ramper.New()
-	fmt.Println(r.Start("s-1"))
-	fmt.Println(r.Add("s-1", 4, 0))
-	fmt.Println(r.Add("s-1", 1, 1))
-	fmt.Println(r.Add("s-2", 1, 1))
+	fmt.Println(r.Share())
+	fmt.Println(r.Add(4, 0))
+	fmt.Println(r.Add(1, 1))
 	// Output:
 	// 0.125
-	// 0.25 true
-	// 0.125 true
-	// 1 false
+	// 0.25
+	// 0.125
 }
--- a/pkg/ramper/ramper.go
+++ b/pkg/ramper/ramper.go
@@ -10,8 +10,7 @@
 // # Usage
 //
 //	r := ramper.New()
-//	share := r.Start("s-1")
-//	share, changed := r.Add("s-1", answers, poor)
+//	share := r.Add(answers, poor)
 package ramper
 
 import "github.com/lagooncleat/lagooncleat/pkg/identifier"
@@ -32,54 +31,36 @@
 	poorCost = 2
 )
 
-// Ramper holds the ramps of servers. It is not safe for concurrent use.
+// Ramper is the ramp of one server. It is not safe for concurrent use.
 type Ramper struct {
-	ramps map[identifier.ServerID]*ramp
-}
-
-// ramp is the state of a server with less than the full share. The share falls when the credit is
-// used up.
-type ramp struct {
-	share  identifier.Ratio
+	share identifier.Ratio
+	// credit is what the answers since the last change of the share have earned. The share falls when it
+	// is used up.
 	credit int
 }
 
-// New returns a Ramper without ramps.
+// New returns the ramp of a server that has just started.
 func New() *Ramper {
-	return &Ramper{ramps: map[identifier.ServerID]*ramp{}}
+	return &Ramper{share: InitialShare}
 }
 
-// Start begins the ramp of a server that has started, and returns its share.
-func (r *Ramper) Start(id identifier.ServerID) identifier.Ratio {
-	r.ramps[id] = &ramp{share: InitialShare}
-	return InitialShare
-}
+// Share returns the server's share.
+func (r *Ramper) Share() identifier.Ratio { return r.share }
 
-// Add records the answers of a server that one host has counted, of which some are poor: late, failed or
-// refused. It returns the server's share, and whether that has changed. The ramp ends at FullShare.
-func (r *Ramper) Add(id identifier.ServerID, answers, poor int) (share identifier.Ratio, changed bool) {
-	x, ok := r.ramps[id]
-	if !ok {
-		return FullShare, false
+// Add records the answers that one host has counted, of which some are poor: late, failed or refused. It
+// returns the server's share. The ramp has ended at FullShare.
+func (r *Ramper) Add(answers, poor int) identifier.Ratio {
+	if r.share >= FullShare {
+		return FullShare
 	}
-	before := x.share
-	x.credit += answers - poor - poorCost*poor
+	r.credit += answers - poor - poorCost*poor
 	switch {
-	case x.credit < 0:
-		x.credit = 0
-		x.share = max(InitialShare, x.share/growth)
-	case x.credit >= risingCredit:
-		x.credit = 0
-		x.share *= growth
+	case r.credit < 0:
+		r.credit = 0
+		r.share = max(InitialShare, r.share/growth)
+	case r.credit >= risingCredit:
+		r.credit = 0
+		r.share = min(FullShare, r.share*growth)
 	}
-	if x.share >= FullShare {
-		delete(r.ramps, id)
-		return FullShare, true
-	}
-	return x.share, x.share != before
-}
-
-// Remove removes the ramp of a server.
-func (r *Ramper) Remove(id identifier.ServerID) {
-	delete(r.ramps, id)
+	return r.share
 }
--- a/pkg/ramper/ramper_test.go
+++ b/pkg/ramper/ramper_test.go
@@ -31,20 +31,11 @@
 	} {
 		ginkgo.It(c.name, func() {
 			r := ramper.New()
-			share := r.Start("s")
+			share := r.Share()
 			for _, x := range c.reports {
-				share, _ = r.Add("s", x.answers, x.poor)
+				share = r.Add(x.answers, x.poor)
 			}
 			gomega.Expect(share).To(gomega.Equal(c.share))
 		})
 	}
-
-	ginkgo.It("forgets a server that was removed", func() {
-		r := ramper.New()
-		r.Start("s")
-		r.Remove("s")
-		share, changed := r.Add("s", 1, 1)
-		gomega.Expect(share).To(gomega.Equal(ramper.FullShare))
-		gomega.Expect(changed).To(gomega.BeFalse())
-	})
 })
--- a/pkg/reducer/ramp.go
+++ b/pkg/reducer/ramp.go
@@ -9,42 +9,42 @@
 	"github.com/lagooncleat/lagooncleat/pkg/ramper"
 )
 
-// startShare returns the share of work of a server that is new in the list, or whose incarnation is. It begins a
-// ramp if the servers of the service state their loads; otherwise the share is 0. A server that is listed for
-// the first time may have run for long, unless it says that it is starting.
-func (sl *serverList) startShare(previous *ListedServer, a leaser.Announcement) identifier.Ratio {
-	if previous != nil && previous.Share > 0 {
-		return sl.ramper.Start(a.Server)
-	}
-	sl.ramper.Remove(a.Server)
-	if previous != nil || a.State != leaser.Starting {
-		return 0
-	}
-	for _, l := range sl.servers {
-		if l.Announcement.Service == a.Service && l.Share > 0 {
-			return sl.ramper.Start(a.Server)
+// startRamp begins the ramp of a server that is new in the list, whose incarnation is, or that is cold again, if the servers of its
+// service state their loads. A server that is listed for the first time may have run for long, unless it says that
+// it is starting. Entry hosts learn the share from their control host.
+func (sl *serverList) startRamp(listed, previous *ListedServer) {
+	states := previous != nil && previous.Share > 0
+	if previous == nil && listed.Announcement.State == leaser.Starting {
+		for _, l := range sl.servers {
+			states = states || (l.Announcement.Service == listed.Announcement.Service && l.Share > 0)
 		}
 	}
-	return 0
+	if states {
+		listed.ramp = ramper.New()
+		listed.Share = listed.ramp.Share()
+	}
 }
 
 // updateShare adds the measurements of one host to the ramp of a server. A server that states its load for the
 // first time has the full share.
 func (s *State) updateShare(server *ListedServer, m Measurement) {
-	sl := &s.control.serverList
-	if server.Share == 0 && !m.StatesLoad {
-		return
-	}
-	share, ramping := sl.ramper.Add(m.Server, m.Tally.Answers, m.Tally.Poor)
-	if share == server.Share {
+	share := server.Share
+	switch {
+	case server.ramp != nil:
+		share = server.ramp.Add(m.Tally.Answers, m.Tally.Poor)
+		if share == server.Share {
+			return
+		}
+		s.log(MembershipSubsystem, Info, "share of a new backend server has changed", Field{"server", string(m.Server)},
+			Field{"share", strconv.FormatFloat(float64(share), 'f', -1, 64)})
+	case m.StatesLoad && share == 0:
+		share = ramper.FullShare
+	default:
 		return
 	}
+	sl := &s.control.serverList
 	sl.revision++
 	server.Share, server.Revision = share, sl.revision
-	if ramping {
-		s.log(MembershipSubsystem, Info, "share of a new backend server has changed", Field{"server", string(m.Server)},
-			Field{"share", strconv.FormatFloat(float64(share), 'f', -1, 64)})
-	}
 }
 
 // isRamped reports whether the hosts of this failure domain together find the share of work of a server
--- a/pkg/reducer/ramp_test.go
+++ b/pkg/reducer/ramp_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagooncleat/lagooncleat/pkg/assessor"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/leaser"
 	"github.com/lagooncleat/lagooncleat/pkg/ramper"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
@@ -35,6 +36,11 @@
 		{"grows with answers in time", []func(*smallFleet){states, restart, report(good)}, 2 * ramper.InitialShare},
 		{"falls with a poor answer", []func(*smallFleet){states, restart, report(good), report(good), report(poor)}, 2 * ramper.InitialShare},
 		{"becomes full", []func(*smallFleet){states, restart, report(good), report(good), report(good)}, ramper.FullShare},
+		{"is low when the server is cold again", []func(*smallFleet){states, func(f *smallFleet) {
+			cold := announcement("s-1", 1, 2)
+			cold.State = leaser.Starting
+			f.announce(1, cold)
+		}}, ramper.InitialShare},
 		{"is kept when the announcement changes", []func(*smallFleet){states, restart, func(f *smallFleet) {
 			changed := announcement("s-1", 2, 2)
 			changed.Slots = 4
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -102,6 +102,8 @@
 	// Share is the share of its usual work that the server gets from its failure domain; 0 while it is not
 	// known to state its load.
 	Share identifier.Ratio `msgpack:"h"`
+	// ramp finds the share while the server is new; nil otherwise.
+	ramp *ramper.Ramper
 	// changed is when the status or what routing depends on last changed, by the clock of the
 	// host that keeps the list.
 	changed identifier.Instant
@@ -284,8 +286,6 @@
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
 	lender   *lender.Lender
-	// ramper finds the shares of work of new servers from the same measurements.
-	ramper *ramper.Ramper
 }
 
 type controlHost struct {
@@ -307,7 +307,6 @@
 		controlHosts:          map[identifier.HostID]controlHost{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
-		ramper:                ramper.New(),
 		lender:                lender.New(window),
 	}
 }
@@ -326,10 +325,14 @@
 	sl.revision++
 	listed := &ListedServer{Announcement: a, Standing: status, Revision: sl.revision, changed: now}
 	if ok && previous.Announcement.Incarnation == a.Incarnation {
-		listed.Degraded, listed.Stated, listed.Share = previous.Degraded, previous.Stated, previous.Share
+		listed.Degraded, listed.Stated = previous.Degraded, previous.Stated
+		listed.Share, listed.ramp = previous.Share, previous.ramp
+		if a.State == leaser.Starting && previous.Announcement.State != leaser.Starting {
+			sl.startRamp(listed, previous)
+		}
 	} else {
 		sl.assessor.Remove(a.Server)
-		listed.Share = sl.startShare(previous, a)
+		sl.startRamp(listed, previous)
 	}
 	sl.servers[a.Server] = listed
 	if status != Left && status != Displaced {
