--- a/pkg/ramper/ramper.go
+++ b/pkg/ramper/ramper.go
@@ -24,7 +24,7 @@
 	// growth multiplies the share of a server that has answered in time.
 	growth = 2
 	// risingCredit is the credit at which the share grows. Two let a server that fails half of
-	// its attempts rise often; four take the share of a server with 33 requests a second 5 s to return.
+	// its attempts rise often; four take the share of a server with 33 requests a second 4 s to return.
 	risingCredit = 3
 	// poorCost is the credit that a poor answer costs, where one in time earns 1. The share of a server of
 	// which a third of the answers are poor doesn't grow.
