--- a/pkg/reducer/allocation.go
+++ b/pkg/reducer/allocation.go
@@ -44,10 +44,13 @@
 // rations reports whether a piece gets another attempt only if its request can't do without it: it was
 // rejected, and all servers of its service reject attempts.
 func (s *State) rations(q *request, p *piece) bool {
+	if !p.rejected || p.finished || p.openAttempts > 0 {
+		return false
+	}
 	if _, ok := q.requester.(clientRequester); !ok || len(q.route.Shards) == 0 || q.probing {
 		return false
 	}
-	return p.rejected && !p.finished && p.openAttempts == 0 && !s.exhausted(q, p) && s.leastRejection(p.service) > 0
+	return !s.exhausted(q, p) && s.leastRejection(p.service) > 0
 }
 
 // recordPieceRejected records that a piece was rejected, and when to decide on the rejected pieces.
