--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -38,7 +38,7 @@
 	// first attempts take nothing from the budgets, so that a small chance is worth them.
 	minChance = 0.1
 	// budgetShare is the share of the budgets of a query's unserved pieces that it may be expected to take.
-	// Of the played queries that need 31 of 36 pieces while 0.8 of the servers reject 0.6, 0.27 are whole with it,
+	// Of the played queries that need 31 of 36 pieces while 0.8 of the servers reject 0.6, 0.25 are whole with it,
 	// 0.15 with 0.5 and 0.19 with 1.25.
 	budgetShare = 0.7
 	// maxExpectedAttempts limits the attempts that a served piece is expected to take, since a
