pkg/reducer: let hosts beside sound servers gather the pieces of rejecting local ones

Change: a piece whose local server rejects over a quarter is delegated to a host of a failure domain with a sound one.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -24,6 +24,9 @@
 	// SubscribersInterval is the interval at which a control host resends the list of its
 	// subscribers, to make up for lost messages.
 	SubscribersInterval = 5 * identifier.Second
+	// maxLocalRejection is the ratio of rejected attempts from which a local server is passed over for a sound
+	// remote one.
+	maxLocalRejection identifier.Ratio = 0.25
 	// minFlush is the minimum time that a delegate gets to gather parts.
 	minFlush = 5 * identifier.Millisecond
 )
@@ -167,22 +170,41 @@
 	for i := range q.pieces {
 		p := &q.pieces[i]
 		backends := s.traffic.view.Fleet.Backends[p.service]
-		if slices.ContainsFunc(backends, func(b Backend) bool {
-			return b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(&b) && !s.isClosed(&b) && s.withinHomes(q, b.Domain)
-		}) {
+		local, sound := s.localServers(q, p, backends)
+		if sound {
 			continue
 		}
-		for b := range backends {
-			d := backends[b].Domain
-			if d != s.parameters.Domain && !backends[b].Silent && !backends[b].Evacuated && s.withinHomes(q, d) &&
-				!slices.Contains(groups[d], i) {
-				groups[d] = append(groups[d], i)
+		for n := range backends {
+			b := &backends[n]
+			if b.Domain == s.parameters.Domain || b.Silent || b.Evacuated || !s.withinHomes(q, b.Domain) ||
+				slices.Contains(groups[b.Domain], i) || (local && (b.Degraded || rejectsMuch(p, b))) {
+				continue
 			}
+			groups[b.Domain] = append(groups[b.Domain], i)
 		}
 	}
 	return groups
 }
 
+// localServers reports whether a piece has a usable server in the local failure domain, and whether one of them
+// accepts most of its attempts.
+func (s *State) localServers(q *request, p *piece, backends []Backend) (usable, sound bool) {
+	for i := range backends {
+		b := &backends[i]
+		if b.Domain == s.parameters.Domain && !b.Silent && !p.avoids(b) && !s.isClosed(b) && s.withinHomes(q, b.Domain) {
+			usable = true
+			sound = sound || !rejectsMuch(p, b)
+		}
+	}
+	return usable, sound
+}
+
+// rejectsMuch reports whether a server rejects so many attempts that a piece is rather gathered by a host beside a
+// sound one. If every host sent its own attempts there instead, they would exceed the server's connections.
+func rejectsMuch(p *piece, b *Backend) bool {
+	return p.rejectionOf(b) > maxLocalRejection
+}
+
 // largestGroup returns the domain with the most pieces; the first by name wins a tie.
 func largestGroup(groups map[identifier.DomainID][]int) identifier.DomainID {
 	var best identifier.DomainID
