--- a/pkg/permitter/permitter_bench_test.go
+++ b/pkg/permitter/permitter_bench_test.go
@@ -77,7 +77,7 @@
 	for _, load := range []float64{0.5, 0.95, 1.5} {
 		b.Run(fmt.Sprintf("load=%g", load), func(b *testing.B) {
 			for b.Loop() {
-				r := playCredits(load)
+				r := playCredits(load, permitter.Limit{Rate: 5, Burst: 5})
 				slices.Sort(r.waits)
 				b.ReportMetric(float64(r.waits[len(r.waits)/2]), "p50-us")
 				b.ReportMetric(float64(r.waits[len(r.waits)*99/100]), "p99-us")
@@ -88,20 +88,60 @@
 	}
 }
 
+// BenchmarkMessages reports the messages a second at the owner and at each control host for quotas, and the reads of
+// the declaration's version for proofs, by the number of entry hosts, each with two requests a second of 75 customers.
+// Answers are not counted.
+func BenchmarkMessages(b *testing.B) {
+	const (
+		load           = 0.6
+		requestsByHost = 2
+		customers      = 75
+		controlHosts   = 8
+		polls          = 2.5
+	)
+	for _, hosts := range []int{62, 195, 600} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				rate := identifier.Rate(float64(hosts) * requestsByHost / customers / load)
+				r := playCredits(load, permitter.Limit{Rate: rate, Burst: float64(rate)})
+				b.ReportMetric(float64(r.reports)/60, "reports-at-owner/s")
+				b.ReportMetric(float64(len(r.waits)+r.refused)/60/controlHosts, "credits-at-control-host/s")
+				b.ReportMetric(playProofs(hosts/controlHosts, polls), "reads-by-control-host/s")
+			}
+		})
+	}
+}
+
+// playProofs returns how many reads a second a control host begins for the polls of its entry hosts.
+func playProofs(hosts int, polls float64) float64 {
+	p := permitter.NewProver()
+	now := identifier.Instant(identifier.Minute)
+	reads := 0
+	interval := identifier.Micros(float64(identifier.Second) / polls / float64(hosts))
+	for i := range int(60 * polls * float64(hosts)) {
+		now = now.Add(interval)
+		p.Finish(true, 1)
+		p.Ask(identifier.HostID(fmt.Sprint(i%hosts)), permitter.Reading{Process: 1, At: now})
+		if p.Begin(now) {
+			reads++
+		}
+	}
+	return float64(reads) / 60
+}
+
 type creditResult struct {
 	waits            []identifier.Micros
 	refused, reports int
 }
 
-// playCredits plays requests at a fraction of the customers' limits.
-func playCredits(load float64) creditResult {
+// playCredits plays requests at a fraction of the customers' limits, which are the same for all.
+func playCredits(load float64, limit permitter.Limit) creditResult {
 	const (
 		hosts     = 8
 		customers = 75
 		way       = identifier.Millisecond
 		patience  = 125 * identifier.Millisecond
 	)
-	limit := permitter.Limit{Rate: 5, Burst: 5}
 	random := rand.New(rand.NewPCG(1, 1))
 	now := identifier.Instant(identifier.Minute)
 	owner := permitter.NewAllotter[customer](now, "owner", tolerance)
