pkg/permitter: ignore the answer of a session that the holder has ended

A holder that was frozen for most of a term dropped its session and counters when it woke, and then accepted the answer to its last report. The answer's totals were those of the dropped session, so everything spent in it was granted again: 3 requests held where the owner counted none in the test, and all of a session's requests in general. The holder now remembers the session of its last report and ignores an answer that continues it after its end.

--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -30,9 +30,10 @@
 	// earlier is the permission of what was held when the session last changed.
 	earlier Permission
 	shares  map[A]*held
-	// reportedAt is when the last report was made, answered whether its answer has arrived, and changedAt when
-	// the oldest change that no report contains was made.
+	// reportedAt is when the last report was made, reported the session that it belonged to, answered whether its
+	// answer has arrived, and changedAt when the oldest change that no report contains was made.
 	reportedAt identifier.Instant
+	reported   SessionID
 	answered   bool
 	changedAt  identifier.Instant
 	changed    bool
@@ -221,7 +222,7 @@
 func (h *Holder[A]) Report(asked Reading) Report[A] {
 	now := asked.At
 	h.endLapsed(now)
-	h.reportedAt, h.answered, h.changed = now, false, false
+	h.reportedAt, h.reported, h.answered, h.changed = now, h.session, false, false
 	r := Report[A]{Session: h.session, Asked: asked}
 	for id, x := range h.shares {
 		target := x.target(now)
@@ -251,8 +252,8 @@
 		return
 	}
 	if a.Session != h.session {
-		if a.Asked.At < h.reportedAt {
-			// The answer to an earlier report may belong to a session that has ended since.
+		if a.Asked.At < h.reportedAt || a.Session == h.reported {
+			// The session has ended here since the report. What it granted in total includes what has been spent.
 			return
 		}
 		h.changeSession(now, a.Session)
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -314,6 +314,24 @@
 		gomega.Expect(h.NextReport(now)).To(gomega.Equal(identifier.Never))
 	})
 
+	// A holder that was frozen for almost a term first drops its session, and then reads the answer.
+	ginkgo.It("are not granted again by an answer of a session that the holder has ended", func() {
+		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+		h.Use(now, "a")
+		exchange(o, h, now)
+		h.Take(now, "a")
+		now = now.Add(permitter.Term / 2)
+		h.Use(now, "a")
+		answer := o.Handle(now, "host", h.Report(permitter.Reading{Process: 1, At: now}))
+		now = now.Add(permitter.Term / 2)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeZero())
+		h.Receive(now, answer)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeZero())
+		now = now.Add(permitter.Term / 6)
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(o.Held("a")))
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
