pkg/permitter: keep the account of a withdrawn limit until its sessions end

An owner deleted the account of a customer that lost its limit as soon as nothing was reserved, while sessions still had a share of it. The next end of such a session, such as that of a control host that stopped, dereferenced a nil account and ended the leader's process. If something was still reserved, the account stayed with a limit of 0, so entry hosts with the earlier declaration were denied for Term. The account now stays as withdrawn while a session has a share of it, and is answered as unknown.

--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -77,6 +77,8 @@
 // account is the state of one limit.
 type account struct {
 	limit Limit
+	// withdrawn is set if the account has no limit anymore, but a session still counts what was allotted of it.
+	withdrawn bool
 	// level is how many requests may be sent now, of which reserved are allotted to holders.
 	level    float64
 	filledAt identifier.Instant
@@ -122,12 +124,14 @@
 func (o *Allotter[A]) SetLimits(now identifier.Instant, limits map[A]Limit) {
 	for id, a := range o.accounts {
 		limit, kept := limits[id]
-		if !kept && a.reserved == 0 {
-			delete(o.accounts, id)
+		if !kept {
+			if a.withdrawn = o.hasShare(id); !a.withdrawn {
+				delete(o.accounts, id)
+			}
 			continue
 		}
 		o.refill(now, a)
-		a.limit = limit
+		a.limit, a.withdrawn = limit, false
 		a.level = min(a.level, o.tolerance.maximum(limit))
 	}
 	for id, limit := range limits {
@@ -139,6 +143,16 @@
 	}
 }
 
+// hasShare reports whether a session counts what was allotted of an account.
+func (o *Allotter[A]) hasShare(id A) bool {
+	for _, s := range o.sessions {
+		if _, ok := s.shares[id]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // refill raises the level by what has accrued, up to the maximum.
 func (o *Allotter[A]) refill(now identifier.Instant, a *account) {
 	if now <= a.filledAt {
@@ -224,8 +238,14 @@
 	if !ok {
 		return Allotment[A]{Account: r.Account, Unknown: true}
 	}
-	o.refill(now, a)
 	x, ok := s.shares[r.Account]
+	if a.withdrawn {
+		if ok && continued {
+			o.record(a, x, r)
+		}
+		return Allotment[A]{Account: r.Account, Unknown: true}
+	}
+	o.refill(now, a)
 	if !ok {
 		x = &share{}
 		s.shares[r.Account] = x
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -332,6 +332,44 @@
 		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(o.Held("a")))
 	})
 
+	// The owner must survive the end of the session, and a customer without a limit is not refused.
+	for _, c := range []struct {
+		name           string
+		held, restored bool
+	}{
+		{"that are spent", false, false},
+		{"that are held", true, false},
+		{"that are spent before it is restored", false, true},
+		{"that are held until it is restored", true, true},
+	} {
+		ginkgo.It("of a limit that is withdrawn, "+c.name+", end with their session", func() {
+			o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+			h.Use(now, "a")
+			exchange(o, h, now)
+			if !c.held {
+				h.Take(now, "a")
+				now = now.Add(permitter.Term / 30)
+				o.Handle(now, "host", permitter.Report[customer]{
+					Session: permitter.SessionID{Owner: "control-1", Began: identifier.Instant(identifier.Minute)},
+					Asked:   permitter.Reading{Process: 1, At: now}, Accounts: []permitter.AccountReport[customer]{{Account: "a", Spent: 1}},
+				})
+				gomega.Expect(o.Held("a")).To(gomega.BeZero())
+			}
+			o.SetLimits(now, nil)
+			now++
+			h.Use(now, "a")
+			exchange(o, h, now)
+			gomega.Expect(h.Unknown("a")).To(gomega.BeTrue())
+			if c.restored {
+				o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 10, Burst: 10}})
+				exchange(o, h, now)
+			}
+			now = now.Add(permitter.Term * 2)
+			o.Handle(now, "other", permitter.Report[customer]{Asked: permitter.Reading{Process: 1, At: now}})
+			gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+		})
+	}
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
