pkg/permitter: don't count what was allotted before against a lowered limit

After a limit was lowered, what holders spent of earlier allotments drove the level far below 0: with a rate lowered from 100 to 1 a second, the customer had no credit for over a minute, although it sent less than its new limit. The level now stays at least at what is allotted, and at the new maximum as soon as that has been spent or returned.

go test ./pkg/permitter: the new spec held 0 two seconds after the change before; all 17 specs pass after.

--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -132,7 +132,7 @@
 		}
 		o.refill(now, a)
 		a.limit, a.withdrawn = limit, false
-		a.level = min(a.level, o.tolerance.maximum(limit))
+		o.limitLevel(a)
 	}
 	for id, limit := range limits {
 		if _, known := o.accounts[id]; known {
@@ -143,6 +143,13 @@
 	}
 }
 
+// limitLevel lowers the level to the maximum of a limit that was lowered, but not below what is allotted: that
+// runs by the limit before. A level below 0 would leave the account without credit until the new rate has made up
+// for it.
+func (o *Allotter[A]) limitLevel(a *account) {
+	a.level = min(a.level, max(o.tolerance.maximum(a.limit), float64(a.reserved)))
+}
+
 // hasShare reports whether a session counts what was allotted of an account.
 func (o *Allotter[A]) hasShare(id A) bool {
 	for _, s := range o.sessions {
@@ -285,6 +292,7 @@
 		a.reserved -= returned - x.returned
 		a.granted -= returned - x.returned
 		x.returned = returned
+		o.limitLevel(a)
 	}
 }
 
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -370,6 +370,28 @@
 		})
 	}
 
+	// Requests allotted before run by the limit before. If they counted by the new one, the customer would
+	// have no credit for as long as the new rate takes to make up for them.
+	ginkgo.It("of a lowered limit don't count against the new one", func() {
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		for range 100 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		gomega.Expect(o.Held("a")).To(gomega.BeNumerically(">", 20))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
+		for h.Take(now, "a") {
+		}
+		now = now.Add(permitter.Term / 30)
+		exchange(o, h, now)
+		now = now.Add(2 * identifier.Second)
+		h.Use(now, "a")
+		h.Wait("a", 1)
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
