pkg/permitter: return what a holder holds beyond twice its target

A holder kept the allotments of a burst for up to ten seconds after its last request, renewed with each report, and longer with one request in ten seconds. Requests beyond a limit that was lowered meanwhile could run long after the window in which it binds, and other holders had no use of them.

go test ./pkg/permitter: 9 s after a limit was lowered from 100 to 1 a second, 72 were still held before, against 26 that the limit allows; all 18 specs pass after.

--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -19,6 +19,9 @@
 	reportDelay = 100 * identifier.Millisecond
 	// renewInterval is the time between reports that renew what is held.
 	renewInterval = Term / 6
+	// surplusFactor is how many times its target a holder keeps. What is held is renewed, so without a return the
+	// allotments of a burst, or of a limit that was lowered since, would stay with the holder until idleTime.
+	surplusFactor = 2
 	// answerTimeout is how long a holder waits for an answer before it reports again.
 	answerTimeout = 100 * identifier.Millisecond
 )
@@ -226,9 +229,7 @@
 	r := Report[A]{Session: h.session, Asked: asked}
 	for id, x := range h.shares {
 		target := x.target(now)
-		if target == 0 && x.unspent() > 0 {
-			x.returned += x.unspent()
-		}
+		x.returned += max(0, x.unspent()-surplusFactor*target)
 		known := counters{x.spent, x.undone, x.returned}
 		if target == 0 && known == x.confirmed {
 			delete(h.shares, id)
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -392,6 +392,26 @@
 		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
 	})
 
+	// What is held is renewed with each report, so without a return the earlier limit could be used much later.
+	ginkgo.It("of an earlier burst go back to the owner when the demand falls", func() {
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		for range 100 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically(">", 50))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
+		// The new limit binds a window after the 4 s in which it reaches all hosts.
+		for range 18 {
+			now = now.Add(permitter.Term / 6)
+			h.Use(now, "a")
+			h.Take(now, "a")
+			exchange(o, h, now)
+		}
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically("<", limitOf(permitter.Limit{Rate: 1, Burst: 1})))
+		gomega.Expect(o.Held("a")).To(gomega.Equal(h.Held(now, "a")))
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
