pkg/reducer: use a credit only for the customer that it was given to

Numbers of requests start anew with each process of an entry host, and a control host holds questions for up to 250 ms. The answer to an earlier process of the host was used for the request with the same number of another customer, which then ran without a credit of its own or got 429 for the other's quota. The answer's customer is now compared.

go test ./pkg/reducer -ginkgo.focus 'quota|customers|proof': the two new specs failed before, all pass after.

--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -285,6 +285,26 @@
 		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
 	})
 
+	for _, c := range []struct {
+		name   string
+		answer reducer.CreditAnswered
+	}{
+		// Numbers of requests start anew with each process, so an answer may be meant for an earlier one.
+		{"for another customer", reducer.CreditAnswered{From: leader, Request: "q", Customer: "plain"}},
+		{"denied to another customer", reducer.CreditAnswered{From: leader, Request: "q", Customer: "plain", RetryAfter: identifier.Second}},
+	} {
+		ginkgo.It("don't use a credit "+c.name, func() {
+			e := newKeyedHost()
+			e.prove()
+			e.sendKeyed("q", "/archive/1", "k-limited")
+			e.reduce(c.answer)
+			gomega.Expect(e.sent).To(gomega.BeEmpty())
+			gomega.Expect(e.outcomes).To(gomega.BeEmpty())
+			grant(e)
+			gomega.Expect(e.sent).To(gomega.HaveLen(1))
+		})
+	}
+
 	ginkgo.It("ask nothing for a customer without a limit", func() {
 		e := newKeyedHost()
 		e.prove()
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -151,10 +151,11 @@
 	s.finishRequest(q, Declined{Reason: QuotaOwnerMissing, Ran: RanNo, RetryAfter: OwnerMissingRetryAfter})
 }
 
-// receiveCredit lets a request go on, or refuses it. A credit that is no longer needed is returned.
+// receiveCredit lets a request go on, or refuses it. A credit that is no longer needed is returned. An answer may be
+// meant for a request with the same number of an earlier process of this host.
 func (s *State) receiveCredit(e CreditAnswered) {
 	q, ok := s.traffic.requests[e.Request]
-	waits := ok && q.credit == creditAwaited
+	waits := ok && q.credit == creditAwaited && q.customer.ID == e.Customer
 	switch {
 	case e.RetryAfter > 0 && waits:
 		until := s.now.Add(e.RetryAfter)
