pkg/reducer: refuse a request whose credit comes after its wait

An entry host that was frozen used the credits that it found when it woke, before its timers: their owner had counted them in an earlier window, so requests ran beyond the limit of the current one. Such a request is now refused as if its timer had come first, and the credit is returned.

go test ./pkg/reducer -ginkgo.focus 'quota|customers|proof': the new spec sent one attempt before, all pass after.

--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -305,6 +305,18 @@
 		})
 	}
 
+	// A credit that a frozen host finds when it wakes has been counted long ago.
+	ginkgo.It("don't use a credit that was given before the host froze", func() {
+		e := newKeyedHost()
+		e.prove()
+		e.sendKeyed("q", "/archive/1", "k-limited")
+		e.now = e.now.Add(wait)
+		grant(e)
+		gomega.Expect(e.sent).To(gomega.BeEmpty())
+		gomega.Expect(returned(e)).To(gomega.BeTrue())
+		gomega.Expect(e.outcomes["q"]).To(gomega.HaveField("Reason", reducer.QuotaOwnerMissing))
+	})
+
 	ginkgo.It("ask nothing for a customer without a limit", func() {
 		e := newKeyedHost()
 		e.prove()
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -152,10 +152,15 @@
 }
 
 // receiveCredit lets a request go on, or refuses it. A credit that is no longer needed is returned. An answer may be
-// meant for a request with the same number of an earlier process of this host.
+// meant for a request with the same number of an earlier process of this host, or have waited while this host was
+// frozen, so that its credit was counted long ago.
 func (s *State) receiveCredit(e CreditAnswered) {
 	q, ok := s.traffic.requests[e.Request]
 	waits := ok && q.credit == creditAwaited && q.customer.ID == e.Customer
+	if waits && s.now >= q.creditDeadline {
+		s.handleCreditTimer(e.Request)
+		waits = false
+	}
 	switch {
 	case e.RetryAfter > 0 && waits:
 		until := s.now.Add(e.RetryAfter)
