pkg/reducer, pkg/permitter: ask again for credits after another declaration

A denial was remembered until the denied rate would have accrued a request, 40 s in the test with 0.01 a second, also if the declaration raised the limit meanwhile, and the entries of customers that were removed stayed for the life of the process. An owner's answer that an account has no limit also stayed after the limit was set. Entry hosts now forget denials with each version, and control hosts both.

--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -140,6 +140,14 @@
 	return 0
 }
 
+// ForgetDenials makes the holder ask again for accounts that were denied or unknown. It must be called when limits
+// change.
+func (h *Holder[A]) ForgetDenials() {
+	for _, x := range h.shares {
+		x.deniedUntil, x.unknown = 0, false
+	}
+}
+
 // Unknown reports whether the owner has answered that it knows no limit for the account.
 func (h *Holder[A]) Unknown(id A) bool {
 	x, ok := h.shares[id]
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -332,6 +332,26 @@
 		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(o.Held("a")))
 	})
 
+	ginkgo.It("are asked for again after a denial that was forgotten", func() {
+		o, h, now := start(permitter.Limit{Rate: 0.01})
+		for range limitOf(permitter.Limit{Rate: 0.01}) {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		for h.Take(now, "a") {
+		}
+		h.Wait("a", 1)
+		now = now.Add(permitter.Term / 30)
+		exchange(o, h, now)
+		gomega.Expect(h.NextReport(now)).To(gomega.BeNumerically(">", now.Add(10*permitter.Term)))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 100}})
+		h.ForgetDenials()
+		now = now.Add(permitter.Term / 30)
+		gomega.Expect(h.NextReport(now)).To(gomega.Equal(now))
+		exchange(o, h, now)
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeTrue())
+	})
+
 	// The owner must survive the end of the session, and a customer without a limit is not refused.
 	for _, c := range []struct {
 		name           string
--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -285,6 +285,17 @@
 		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
 	})
 
+	// A denial may last for as long as a low rate takes to accrue a request.
+	ginkgo.It("ask again after another declaration", func() {
+		e := newKeyedHost()
+		e.prove()
+		e.sendKeyed("q", "/archive/1", "k-limited")
+		e.reduce(reducer.CreditAnswered{From: leader, Request: "q", RetryAfter: identifier.Minute, Customer: "limited"})
+		e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 2, Fleet: keyedFleetView()}})
+		e.sendKeyed("q-2", "/archive/1", "k-limited")
+		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
+	})
+
 	for _, c := range []struct {
 		name   string
 		answer reducer.CreditAnswered
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -357,8 +357,10 @@
 	}
 }
 
-// updateQuotas applies the quotas of the committed declaration if this host owns them.
+// updateQuotas applies the quotas of the committed declaration if this host owns them. Each control host asks again
+// for what was denied by the earlier ones.
 func (s *State) updateQuotas() {
+	s.control.credits.holder.ForgetDenials()
 	source := s.control.replicated.source.Source
 	if s.control.credits.owner == nil || source.Version == 0 {
 		return
--- a/pkg/reducer/slot.go
+++ b/pkg/reducer/slot.go
@@ -287,6 +287,10 @@
 // gone, and repeats the permit requests whose arbiter is gone.
 func (s *State) applyView(v *View) {
 	if _, ok := s.parameters.Duty.(EntryDuty); ok {
+		if v.Configuration != s.traffic.view.Configuration {
+			// Customers may have other quotas now, or be gone.
+			clear(s.traffic.deniedUntil)
+		}
 		s.traffic.view = v
 		s.applyFleet(v.Fleet)
 		return
