pkg/declarer: treat a customer with a burst but no rate as without a limit

Such a customer counted as limited, with a level that starts at 0 and never refills, so every one of its requests got 429.

go test ./pkg/declarer: the new spec with a burst only failed before, all pass after.

--- a/pkg/declarer/customer.go
+++ b/pkg/declarer/customer.go
@@ -44,7 +44,7 @@
 	// Priority replaces the priority of the routes, unless it is nil; 0 is the most urgent.
 	Priority *int `msgpack:"y"`
 	// Rate is how many requests a second the customer may send to all entry hosts together, and Burst how many
-	// more at once. Both are 0 if there is no limit.
+	// more at once. There is no limit if Rate is 0, whatever the burst is.
 	Rate  identifier.Rate `msgpack:"r"`
 	Burst float64         `msgpack:"b"`
 	// Homes are the regions that may see the customer's requests; empty means all.
@@ -53,7 +53,7 @@
 
 // Limited reports whether the customer has a quota.
 func (c *Customer) Limited() bool {
-	return c.Rate > 0 || c.Burst > 0
+	return c.Rate > 0
 }
 
 // checkCustomers checks that the names and the keys of customers are unique, and their quotas.
--- a/pkg/declarer/declarer_test.go
+++ b/pkg/declarer/declarer_test.go
@@ -61,3 +61,22 @@
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
+
+var _ = ginkgo.Describe("a customer", func() {
+	for _, c := range []struct {
+		name    string
+		rate    identifier.Rate
+		burst   float64
+		limited bool
+	}{
+		{"with neither rate nor burst has no limit", 0, 0, false},
+		// A level that doesn't refill would refuse every request.
+		{"with a burst but no rate has no limit", 0, 5, false},
+		{"with a rate has a limit", 2, 0, true},
+	} {
+		ginkgo.It(c.name, func() {
+			customer := declarer.Customer{ID: "clinic", Rate: c.rate, Burst: c.burst}
+			gomega.Expect(customer.Limited()).To(gomega.Equal(c.limited))
+		})
+	}
+})
