--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -19,6 +19,9 @@
 	reportDelay = 100 * identifier.Millisecond
 	// renewInterval is the time between reports that renew what is held.
 	renewInterval = Term / 6
+	// surplusFactor is how many times its target a holder keeps. What is held is renewed, so without a return the
+	// allotments of a burst, or of a limit that was lowered since, would stay with the holder until idleTime.
+	surplusFactor = 2
 	// answerTimeout is how long a holder waits for an answer before it reports again.
 	answerTimeout = 100 * identifier.Millisecond
 )
@@ -30,9 +33,10 @@
 	// earlier is the permission of what was held when the session last changed.
 	earlier Permission
 	shares  map[A]*held
-	// reportedAt is when the last report was made, answered whether its answer has arrived, and changedAt when
-	// the oldest change that no report contains was made.
+	// reportedAt is when the last report was made, reported the session that it belonged to, answered whether its
+	// answer has arrived, and changedAt when the oldest change that no report contains was made.
 	reportedAt identifier.Instant
+	reported   SessionID
 	answered   bool
 	changedAt  identifier.Instant
 	changed    bool
@@ -136,6 +140,14 @@
 	return 0
 }
 
+// ForgetDenials makes the holder ask again for accounts that were denied or unknown. It must be called when limits
+// change.
+func (h *Holder[A]) ForgetDenials() {
+	for _, x := range h.shares {
+		x.deniedUntil, x.unknown = 0, false
+	}
+}
+
 // Unknown reports whether the owner has answered that it knows no limit for the account.
 func (h *Holder[A]) Unknown(id A) bool {
 	x, ok := h.shares[id]
@@ -221,13 +233,11 @@
 func (h *Holder[A]) Report(asked Reading) Report[A] {
 	now := asked.At
 	h.endLapsed(now)
-	h.reportedAt, h.answered, h.changed = now, false, false
+	h.reportedAt, h.reported, h.answered, h.changed = now, h.session, false, false
 	r := Report[A]{Session: h.session, Asked: asked}
 	for id, x := range h.shares {
 		target := x.target(now)
-		if target == 0 && x.unspent() > 0 {
-			x.returned += x.unspent()
-		}
+		x.returned += max(0, x.unspent()-surplusFactor*target)
 		known := counters{x.spent, x.undone, x.returned}
 		if target == 0 && known == x.confirmed {
 			delete(h.shares, id)
@@ -251,8 +261,8 @@
 		return
 	}
 	if a.Session != h.session {
-		if a.Asked.At < h.reportedAt {
-			// The answer to an earlier report may belong to a session that has ended since.
+		if a.Asked.At < h.reportedAt || a.Session == h.reported {
+			// The session has ended here since the report. What it granted in total includes what has been spent.
 			return
 		}
 		h.changeSession(now, a.Session)
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -314,6 +314,124 @@
 		gomega.Expect(h.NextReport(now)).To(gomega.Equal(identifier.Never))
 	})
 
+	// A holder that was frozen for almost a term first drops its session, and then reads the answer.
+	ginkgo.It("are not granted again by an answer of a session that the holder has ended", func() {
+		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+		h.Use(now, "a")
+		exchange(o, h, now)
+		h.Take(now, "a")
+		now = now.Add(permitter.Term / 2)
+		h.Use(now, "a")
+		answer := o.Handle(now, "host", h.Report(permitter.Reading{Process: 1, At: now}))
+		now = now.Add(permitter.Term / 2)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeZero())
+		h.Receive(now, answer)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeZero())
+		now = now.Add(permitter.Term / 6)
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.Equal(o.Held("a")))
+	})
+
+	ginkgo.It("are asked for again after a denial that was forgotten", func() {
+		o, h, now := start(permitter.Limit{Rate: 0.01})
+		for range limitOf(permitter.Limit{Rate: 0.01}) {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		for h.Take(now, "a") {
+		}
+		h.Wait("a", 1)
+		now = now.Add(permitter.Term / 30)
+		exchange(o, h, now)
+		gomega.Expect(h.NextReport(now)).To(gomega.BeNumerically(">", now.Add(10*permitter.Term)))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 100}})
+		h.ForgetDenials()
+		now = now.Add(permitter.Term / 30)
+		gomega.Expect(h.NextReport(now)).To(gomega.Equal(now))
+		exchange(o, h, now)
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeTrue())
+	})
+
+	// The owner must survive the end of the session, and a customer without a limit is not refused.
+	for _, c := range []struct {
+		name           string
+		held, restored bool
+	}{
+		{"that are spent", false, false},
+		{"that are held", true, false},
+		{"that are spent before it is restored", false, true},
+		{"that are held until it is restored", true, true},
+	} {
+		ginkgo.It("of a limit that is withdrawn, "+c.name+", end with their session", func() {
+			o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+			h.Use(now, "a")
+			exchange(o, h, now)
+			if !c.held {
+				h.Take(now, "a")
+				now = now.Add(permitter.Term / 30)
+				o.Handle(now, "host", permitter.Report[customer]{
+					Session: permitter.SessionID{Owner: "control-1", Began: identifier.Instant(identifier.Minute)},
+					Asked:   permitter.Reading{Process: 1, At: now}, Accounts: []permitter.AccountReport[customer]{{Account: "a", Spent: 1}},
+				})
+				gomega.Expect(o.Held("a")).To(gomega.BeZero())
+			}
+			o.SetLimits(now, nil)
+			now++
+			h.Use(now, "a")
+			exchange(o, h, now)
+			gomega.Expect(h.Unknown("a")).To(gomega.BeTrue())
+			if c.restored {
+				o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 10, Burst: 10}})
+				exchange(o, h, now)
+			}
+			now = now.Add(permitter.Term * 2)
+			o.Handle(now, "other", permitter.Report[customer]{Asked: permitter.Reading{Process: 1, At: now}})
+			gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+		})
+	}
+
+	// Requests allotted before run by the limit before. If they counted by the new one, the customer would
+	// have no credit for as long as the new rate takes to make up for them.
+	ginkgo.It("of a lowered limit don't count against the new one", func() {
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		for range 100 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		gomega.Expect(o.Held("a")).To(gomega.BeNumerically(">", 20))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
+		for h.Take(now, "a") {
+		}
+		now = now.Add(permitter.Term / 30)
+		exchange(o, h, now)
+		now = now.Add(2 * identifier.Second)
+		h.Use(now, "a")
+		h.Wait("a", 1)
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+	})
+
+	// What is held is renewed with each report, so without a return the earlier limit could be used much later.
+	ginkgo.It("of an earlier burst go back to the owner when the demand falls", func() {
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		for range 100 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically(">", 50))
+		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
+		// The new limit binds a window after the 4 s in which it reaches all hosts.
+		for range 18 {
+			now = now.Add(permitter.Term / 6)
+			h.Use(now, "a")
+			h.Take(now, "a")
+			exchange(o, h, now)
+		}
+		gomega.Expect(h.Held(now, "a")).To(gomega.BeNumerically("<", limitOf(permitter.Limit{Rate: 1, Burst: 1})))
+		gomega.Expect(o.Held("a")).To(gomega.Equal(h.Held(now, "a")))
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -285,6 +285,49 @@
 		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
 	})
 
+	// A denial may last for as long as a low rate takes to accrue a request.
+	ginkgo.It("ask again after another declaration", func() {
+		e := newKeyedHost()
+		e.prove()
+		e.sendKeyed("q", "/archive/1", "k-limited")
+		e.reduce(reducer.CreditAnswered{From: leader, Request: "q", RetryAfter: identifier.Minute, Customer: "limited"})
+		e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 2, Fleet: keyedFleetView()}})
+		e.sendKeyed("q-2", "/archive/1", "k-limited")
+		gomega.Expect(asked(e)).To(gomega.HaveLen(2))
+	})
+
+	for _, c := range []struct {
+		name   string
+		answer reducer.CreditAnswered
+	}{
+		// Numbers of requests start anew with each process, so an answer may be meant for an earlier one.
+		{"for another customer", reducer.CreditAnswered{From: leader, Request: "q", Customer: "plain"}},
+		{"denied to another customer", reducer.CreditAnswered{From: leader, Request: "q", Customer: "plain", RetryAfter: identifier.Second}},
+	} {
+		ginkgo.It("don't use a credit "+c.name, func() {
+			e := newKeyedHost()
+			e.prove()
+			e.sendKeyed("q", "/archive/1", "k-limited")
+			e.reduce(c.answer)
+			gomega.Expect(e.sent).To(gomega.BeEmpty())
+			gomega.Expect(e.outcomes).To(gomega.BeEmpty())
+			grant(e)
+			gomega.Expect(e.sent).To(gomega.HaveLen(1))
+		})
+	}
+
+	// A credit that a frozen host finds when it wakes has been counted long ago.
+	ginkgo.It("don't use a credit that was given before the host froze", func() {
+		e := newKeyedHost()
+		e.prove()
+		e.sendKeyed("q", "/archive/1", "k-limited")
+		e.now = e.now.Add(wait)
+		grant(e)
+		gomega.Expect(e.sent).To(gomega.BeEmpty())
+		gomega.Expect(returned(e)).To(gomega.BeTrue())
+		gomega.Expect(e.outcomes["q"]).To(gomega.HaveField("Reason", reducer.QuotaOwnerMissing))
+	})
+
 	ginkgo.It("ask nothing for a customer without a limit", func() {
 		e := newKeyedHost()
 		e.prove()
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -151,10 +151,16 @@
 	s.finishRequest(q, Declined{Reason: QuotaOwnerMissing, Ran: RanNo, RetryAfter: OwnerMissingRetryAfter})
 }
 
-// receiveCredit lets a request go on, or refuses it. A credit that is no longer needed is returned.
+// receiveCredit lets a request go on, or refuses it. A credit that is no longer needed is returned. An answer may be
+// meant for a request with the same number of an earlier process of this host, or have waited while this host was
+// frozen, so that its credit was counted long ago.
 func (s *State) receiveCredit(e CreditAnswered) {
 	q, ok := s.traffic.requests[e.Request]
-	waits := ok && q.credit == creditAwaited
+	waits := ok && q.credit == creditAwaited && q.customer.ID == e.Customer
+	if waits && s.now >= q.creditDeadline {
+		s.handleCreditTimer(e.Request)
+		waits = false
+	}
 	switch {
 	case e.RetryAfter > 0 && waits:
 		until := s.now.Add(e.RetryAfter)
@@ -351,8 +357,10 @@
 	}
 }
 
-// updateQuotas applies the quotas of the committed declaration if this host owns them.
+// updateQuotas applies the quotas of the committed declaration if this host owns them. Each control host asks again
+// for what was denied by the earlier ones.
 func (s *State) updateQuotas() {
+	s.control.credits.holder.ForgetDenials()
 	source := s.control.replicated.source.Source
 	if s.control.credits.owner == nil || source.Version == 0 {
 		return
