pkg/reducer: publish the age of the proof and the credits held, for metrics

The age of an entry host's proof and what control hosts hold of customers' quotas could not be seen from outside. The control state publishes them (PublishPermissions), at each renewal of the proof and once a second on control hosts, and internal/runner serves them as gauges where fleet.revocation-ms or fleet.quota ask for them: lagooncleat_proof_age_seconds, lagooncleat_credits_held, lagooncleat_customer_credits_held for at most 256 customers, and lagooncleat_quota_owner_sessions.

--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -25,6 +25,8 @@
 		h.dependencies.Metrics.RecordDuration(e)
 	case reducer.PublishView:
 		h.publish(e.View)
+	case reducer.PublishPermissions:
+		h.permissions.Store(e.Permissions)
 	case reducer.GrantLease:
 		h.leases.resolve(e.Ticket, Lease{Term: e.Term, Owner: e.Owner, Address: e.Address, Declined: e.Declined})
 	case reducer.Call:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -109,6 +109,7 @@
 	control      *loop
 	traffic      []*loop
 	view         atomic.Pointer[reducer.View]
+	permissions  atomic.Pointer[reducer.Permissions]
 	group        sync.WaitGroup
 	context      context.Context
 	cancel       context.CancelFunc
@@ -147,6 +148,7 @@
 		calls:              map[identifier.AttemptID]inFlightCall{},
 	}
 	h.view.Store(&reducer.View{})
+	h.permissions.Store(&reducer.Permissions{})
 	h.control = newLoop(h)
 	for range p.TrafficStates {
 		h.traffic = append(h.traffic, newLoop(h))
@@ -216,6 +218,11 @@
 	return h.view.Load()
 }
 
+// Permissions returns the permissions that the control state published last.
+func (h *Host) Permissions() *reducer.Permissions {
+	return h.permissions.Load()
+}
+
 // Now returns the current instant on the host's clock.
 func (h *Host) Now() identifier.Instant {
 	return h.clock.now()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -94,6 +94,15 @@
 	m.set.GetOrCreateGauge(name, read)
 }
 
+// RegisterSeries registers a gauge with one label, whose values by label are read each time the metrics are written.
+func (m *Meter) RegisterSeries(name, label string, read func(write func(value string, count float64))) {
+	m.set.RegisterMetricsWriter(func(w io.Writer) {
+		read(func(value string, count float64) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{%s=%q}", name, label, value), count)
+		})
+	})
+}
+
 // Write writes all metrics in the Prometheus text format.
 func (m *Meter) Write(w io.Writer) {
 	m.set.WritePrometheus(w)
--- a/internal/runner/gauge.go
+++ b/internal/runner/gauge.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
+	"github.com/lagooncleat/lagooncleat/internal/loader"
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/internal/screener"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -42,6 +45,33 @@
 	return 0
 }
 
+// registerPermissionGauges registers the gauges of the proof, where the settings ask for one, and those of credits on
+// control hosts that give them.
+func (r *Runner) registerPermissionGauges(m *meter.Meter) {
+	switch f := r.settings.Fleet; {
+	case f.Duty == loader.FleetEntry && f.RevocationMillis > 0:
+		m.RegisterGauge("lagooncleat_proof_age_seconds", func() float64 {
+			return proofAge(r.host.Permissions().Proven, r.host.Now())
+		})
+	case f.Duty == loader.FleetControl && f.Quota.WindowMillis > 0:
+		m.RegisterGauge("lagooncleat_credits_held", func() float64 { return float64(r.host.Permissions().Credits) })
+		m.RegisterGauge("lagooncleat_quota_owner_sessions", func() float64 { return float64(r.host.Permissions().Sessions) })
+		m.RegisterSeries("lagooncleat_customer_credits_held", "customer", func(write func(string, float64)) {
+			for _, held := range r.host.Permissions().Customers {
+				write(string(held.Account), float64(held.Count))
+			}
+		})
+	}
+}
+
+// proofAge returns the age of a proof in seconds, or infinity without a proof.
+func proofAge(proven, now identifier.Instant) float64 {
+	if proven == 0 {
+		return math.Inf(1)
+	}
+	return now.Since(proven).Duration().Seconds()
+}
+
 func (r *Runner) registerGauges(m *meter.Meter) {
 	for _, g := range gauges {
 		m.RegisterGauge(g.name, func() float64 { return g.read(r.host.View()) })
@@ -54,6 +84,7 @@
 	if r.settings.Fleet == nil {
 		return
 	}
+	r.registerPermissionGauges(m)
 	// The settings bound the number of labels.
 	for domain := range r.settings.Fleet.Regions {
 		m.RegisterGauge(fmt.Sprintf("lagooncleat_evacuated{domain=%q}", domain), func() float64 {
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -364,3 +364,35 @@
 		gomega.Expect(reading.Process).To(gomega.Equal(identifier.Instant(2)))
 	})
 })
+
+var _ = ginkgo.Describe("the holdings of a holder", func() {
+	for _, c := range []struct {
+		name  string
+		most  int
+		after identifier.Micros
+		held  []permitter.Holding[customer]
+		total permitter.Requests
+	}{
+		{"name the accounts with most first", 9, 0, []permitter.Holding[customer]{{"b", 3}, {"a", 1}, {"c", 1}}, 5},
+		// Metrics with a label for each of thousands of customers would be too large.
+		{"name no more accounts than wanted, and count all", 1, 0, []permitter.Holding[customer]{{"b", 3}}, 5},
+		{"end with the allotments", 9, permitter.Term, []permitter.Holding[customer]{}, 0},
+	} {
+		ginkgo.It(c.name, func() {
+			owner := permitter.NewAllotter[customer](0, "control-1", tolerance)
+			limit := permitter.Limit{Rate: 20, Burst: 20}
+			owner.SetLimits(0, map[customer]permitter.Limit{"a": limit, "b": limit, "c": limit})
+			now := identifier.Instant(10 * identifier.Second)
+			holder := permitter.NewHolder[customer]()
+			for _, id := range []customer{"a", "b", "b", "b", "c"} {
+				holder.Use(now, id)
+			}
+			holder.Receive(now, owner.Handle(now, "host-1", holder.Report(permitter.Reading{Process: 1, At: now})))
+			gomega.Expect(owner.Sessions(now)).To(gomega.Equal(1))
+			held, total := holder.Holdings(now.Add(c.after), c.most)
+			gomega.Expect(held).To(gomega.HaveExactElements(c.held))
+			gomega.Expect(total).To(gomega.Equal(c.total))
+			gomega.Expect(owner.Sessions(now.Add(c.after + 1))).To(gomega.Equal(min(1, len(held))))
+		})
+	}
+})
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -363,6 +363,7 @@
 	if changed {
 		s.publish(lapsed...)
 	}
+	s.publishCredits()
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 }
 
--- a/pkg/reducer/proof.go
+++ b/pkg/reducer/proof.go
@@ -63,6 +63,7 @@
 	term := identifier.Micros(provenPortion * float64(d.Revocation))
 	if s.control.proof.Renew(p.Asked.Sent, term) {
 		s.emit(Send{To: s.parameters.Host, Event: ProofRenewed{Until: s.control.proof.Until()}})
+		s.publishProof(term)
 	}
 }
 
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -202,6 +202,8 @@
 	waiting map[identifier.CustomerID][]waitingCredit
 	// reportAt is the instant of the next report; Never if none is scheduled.
 	reportAt identifier.Instant
+	// publishAt is the instant from which the credits are published again.
+	publishAt identifier.Instant
 	// owner divides the quotas while this host leads; nil otherwise.
 	owner *permitter.Allotter[identifier.CustomerID]
 }
