--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -187,7 +187,7 @@
 	best := math.Inf(1)
 	for i := range candidates {
 		cost := c.cost(now, &candidates[i], base)
-		if cold := c.coldness(&candidates[i], base) - base.minColdness; cold > 0 && random(drawOutcomes) < int(cold*coldDrawShare*drawOutcomes) {
+		if cold := c.coldDraw(&candidates[i], base); cold > 0 && random(drawOutcomes) < int(cold*drawOutcomes) {
 			cost *= coldCostFactor
 		}
 		c.costs = append(c.costs, cost)
@@ -263,6 +263,11 @@
 	return c.records[candidate.Server].coldness()
 }
 
+// coldDraw returns the share of draws in which the cost of a candidate is raised, since it is colder than others.
+func (c *Chooser) coldDraw(candidate *Candidate, base baseline) float64 {
+	return (c.coldness(candidate, base) - base.minColdness) * coldDrawShare
+}
+
 // restrictionCost is added to the cost of servers that are chosen only if there are no others.
 const restrictionCost = 1e12
 
--- a/pkg/splitter/splitter.go
+++ b/pkg/splitter/splitter.go
@@ -39,6 +39,11 @@
 	return slices.Equal(s.targets, targets)
 }
 
+// Clone returns a copy that selects the same targets from now on.
+func (s *Splitter) Clone() *Splitter {
+	return &Splitter{targets: s.targets, currentWeights: slices.Clone(s.currentWeights), totalWeight: s.totalWeight}
+}
+
 // Next returns the service for the next request.
 func (s *Splitter) Next() identifier.ServiceID {
 	best := -1
