pkg/reducer: explain where a request would go

Operators could not ask a host why a request goes where it goes. RouteAsked carries the question to the traffic state, and ReplyRoute the answer: why the request would be declined, its customer and rank, proof, quota, evacuated domains, the servers of each service in the order of the choice with what is known of each, and the delegations. The functions that decide for requests run on a copy of what they may change (rehearsal), so that nothing is drawn, spent or refreshed. They were split for that without a change of behaviour: newRequest, judgeKey, preferenceOf, planDelegations, hasChance.

--- a/pkg/declarer/customer.go
+++ b/pkg/declarer/customer.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -124,3 +125,11 @@
 	}
 	return true
 }
+
+// Customer returns the customer with the ID, or nil if there is none.
+func (d *Declaration) Customer(id identifier.CustomerID) *Customer {
+	if i := slices.IndexFunc(d.Customers, func(c Customer) bool { return c.ID == id }); i >= 0 {
+		return &d.Customers[i]
+	}
+	return nil
+}
--- a/pkg/reducer/allocation.go
+++ b/pkg/reducer/allocation.go
@@ -111,8 +111,7 @@
 // refuseRejected ends a request that has no realistic chance, since all servers of too many of its
 // services reject attempts. It reports whether it did so.
 func (s *State) refuseRejected(q *request) bool {
-	if len(q.route.Shards) == 0 || q.probing || !s.hasScarceService(q) ||
-		allocator.MayBegin(s.allocatorPieces(q), q.required()) {
+	if s.hasChance(q) {
 		return false
 	}
 	s.count(NotBegunCounter, "", q.rank)
@@ -122,6 +121,12 @@
 	return true
 }
 
+// hasChance reports whether a request that begins now has a realistic chance.
+func (s *State) hasChance(q *request) bool {
+	return len(q.route.Shards) == 0 || q.probing || !s.hasScarceService(q) ||
+		allocator.MayBegin(s.allocatorPieces(q), q.required())
+}
+
 // hasScarceService reports whether all servers of one of the request's services reject attempts.
 func (s *State) hasScarceService(q *request) bool {
 	for i := range q.pieces {
--- a/pkg/reducer/customer.go
+++ b/pkg/reducer/customer.go
@@ -23,20 +23,32 @@
 		return nil, nil
 	}
 	e.Payload.Credentials = nil
-	proven := s.declarationProven()
-	if !proven && !route.Public {
+	holder, _ := fleet.Customers.Authenticate(e.Credential)
+	customer, reason := s.judgeKey(route, holder)
+	switch reason {
+	case DeclarationUnproven:
 		s.count(UnprovenRefusalsCounter, "", 0)
-		return nil, &Declined{Reason: DeclarationUnproven, Ran: RanNo, RetryAfter: UnprovenRetryAfter}
+		return nil, &Declined{Reason: reason, Ran: RanNo, RetryAfter: UnprovenRetryAfter}
+	case UnknownKey:
+		s.count(UnknownKeyRefusalCounter, "", 0)
+		return nil, &Declined{Reason: reason, Ran: RanNo}
 	}
-	customer, ok := fleet.Customers.Authenticate(e.Credential)
+	return customer, nil
+}
+
+// judgeKey returns the customer that counts for a request with a key of the holder, which is nil if nobody holds
+// the key, or the reason for which the request is refused.
+func (s *State) judgeKey(route *declarer.Route, holder *declarer.Customer) (*declarer.Customer, DeclineReason) {
+	proven := s.declarationProven()
 	switch {
-	case ok && proven:
-		return customer, nil
+	case !proven && !route.Public:
+		return nil, DeclarationUnproven
+	case holder != nil && proven:
+		return holder, ""
 	case route.Public:
-		return nil, nil
+		return nil, ""
 	}
-	s.count(UnknownKeyRefusalCounter, "", 0)
-	return nil, &Declined{Reason: UnknownKey, Ran: RanNo}
+	return nil, UnknownKey
 }
 
 // rankOf returns the rank of a request. The priority of a customer precedes that of the route.
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -143,24 +143,40 @@
 // delegate asks hosts of remote failure domains to gather the pieces that no server in the
 // local domain can serve. One merged answer then crosses domains instead of every part.
 func (s *State) delegate(q *request) {
+	for _, d := range s.planDelegations(q) {
+		s.sendDelegation(q, d.hosts[s.random.IntN(len(d.hosts))], d.pieces)
+	}
+}
+
+// plannedDelegation is a group of pieces that one of the hosts of a remote failure domain is asked to gather.
+type plannedDelegation struct {
+	domain identifier.DomainID
+	hosts  []identifier.HostID
+	pieces []int
+}
+
+// planDelegations returns the delegations of a request that begins now.
+func (s *State) planDelegations(q *request) []plannedDelegation {
 	if len(q.route.Shards) == 0 || q.probing || !s.mayServe(q.customerID()) || len(s.traffic.view.Fleet.Delegates) == 0 {
-		return
+		return nil
 	}
+	var planned []plannedDelegation
 	groups := s.groupRemotePieces(q)
 	for len(groups) > 0 {
 		domain := largestGroup(groups)
 		pieces := groups[domain]
 		delete(groups, domain)
 		if len(pieces) < minDelegatedPieces {
-			return
+			break
 		}
-		if host, ok := s.chooseDelegate(domain); ok {
-			s.sendDelegation(q, host, pieces)
+		if hosts := s.availableDelegates(domain); len(hosts) > 0 {
+			planned = append(planned, plannedDelegation{domain, hosts, pieces})
 			for d, others := range groups {
 				groups[d] = slices.DeleteFunc(others, func(i int) bool { return slices.Contains(pieces, i) })
 			}
 		}
 	}
+	return planned
 }
 
 // groupRemotePieces groups by failure domain the pieces that have a server there and no usable
@@ -216,18 +232,15 @@
 	return best
 }
 
-// chooseDelegate returns a random host of the domain that is not backed off.
-func (s *State) chooseDelegate(domain identifier.DomainID) (identifier.HostID, bool) {
+// availableDelegates returns the delegates in the domain that are not backed off.
+func (s *State) availableDelegates(domain identifier.DomainID) []identifier.HostID {
 	var hosts []identifier.HostID
 	for _, h := range s.traffic.view.Fleet.Delegates {
 		if h.Domain == domain && s.traffic.delegateBackoffs[h.ID] <= s.now {
 			hosts = append(hosts, h.ID)
 		}
 	}
-	if len(hosts) == 0 {
-		return "", false
-	}
-	return hosts[s.random.IntN(len(hosts))], true
+	return hosts
 }
 
 // sendDelegation asks a host to gather parts for some pieces of a request.
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -73,6 +73,8 @@
 		s.cancelDelegated(e)
 	case CreditAnswered:
 		s.receiveCredit(e)
+	case RouteAsked:
+		s.explainRoute(e)
 	}
 }
 
@@ -97,6 +99,30 @@
 		s.declineArrived(e, Declined{Reason: SuspectedCrash, Ran: RanNo, RetryAfter: until.Since(s.now)})
 		return
 	}
+	q := s.newRequest(e, route, customer)
+	for _, id := range s.targetServices(route) {
+		q.pieces = append(q.pieces, s.newPiece(id))
+	}
+	s.count(RequestsCounter, "", q.rank)
+	if customer != nil {
+		s.count(CustomerRequestsCounter, customer.ID, q.rank)
+	}
+	s.traffic.requests[e.Request] = q
+	if from := s.sufficientFrom(q); from > 0 {
+		s.count(UnavailablePiecesCounter, "", q.rank)
+		s.finishRequest(q, s.unavailable(q, from))
+		return
+	}
+	if s.refuseRejected(q) {
+		return
+	}
+	if s.admitByQuota(q) {
+		s.beginRequest(q)
+	}
+}
+
+// newRequest returns a client's request without its pieces.
+func (s *State) newRequest(e RequestArrived, route *declarer.Route, customer *declarer.Customer) *request {
 	timeout := route.Timeout
 	if e.Remaining > 0 {
 		timeout = min(timeout, e.Remaining)
@@ -106,7 +132,7 @@
 		RequestArrived: e,
 		requester:      clientRequester{},
 		route:          route,
-		version:        fleet.Declaration.Version,
+		version:        s.traffic.view.Fleet.Declaration.Version,
 		rank:           rankOf(route, customer),
 		customer:       customer,
 		arrival:        s.now,
@@ -119,25 +145,7 @@
 		homes:          newHomes(route.Homes, customerHomes(customer)),
 	}
 	q.partialAfter = min(q.deadline, s.now.Add(2*route.TargetLatency))
-	for _, id := range s.targetServices(route) {
-		q.pieces = append(q.pieces, s.newPiece(id))
-	}
-	s.count(RequestsCounter, "", q.rank)
-	if customer != nil {
-		s.count(CustomerRequestsCounter, customer.ID, q.rank)
-	}
-	s.traffic.requests[e.Request] = q
-	if from := s.sufficientFrom(q); from > 0 {
-		s.count(UnavailablePiecesCounter, "", q.rank)
-		s.finishRequest(q, s.unavailable(q, from))
-		return
-	}
-	if s.refuseRejected(q) {
-		return
-	}
-	if s.admitByQuota(q) {
-		s.beginRequest(q)
-	}
+	return q
 }
 
 // beginRequest sends the first attempts of a request that has been admitted.
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -233,16 +233,36 @@
 	return max(1, identifier.Connections(math.Round(usable*(1-localConnectionShare)/float64(max(1, counts.Remote)))))
 }
 
+// preference orders the servers of a service: an attempt goes to one of the least that has a server to take it.
+type preference uint8
+
+const (
+	preferSound preference = iota
+	// preferStalled servers have stopped answering.
+	preferStalled
+	// preferDegraded servers are degraded, or new and spared by this piece.
+	preferDegraded
+	preferSilent
+)
+
+// preferenceOf returns the preference of a server for a piece.
+func (s *State) preferenceOf(p *piece, b *Backend) preference {
+	switch {
+	case b.Silent:
+		return preferSilent
+	case p.avoids(b):
+		return preferDegraded
+	case s.isStalled(p.service, b):
+		return preferStalled
+	}
+	return preferSound
+}
+
 // chooseBackend picks the server for an attempt, preferably one that is neither silent,
 // degraded nor stalled. Failing that, it accepts stalled, then degraded, then silent servers.
 func (s *State) chooseBackend(q *request, p *piece) (*Backend, bool) {
-	for _, accept := range []func(*Backend) bool{
-		func(b *Backend) bool { return !b.Silent && !p.avoids(b) && !s.isStalled(p.service, b) },
-		func(b *Backend) bool { return !b.Silent && !p.avoids(b) },
-		func(b *Backend) bool { return !b.Silent },
-		func(*Backend) bool { return true },
-	} {
-		if id, ok := s.traffic.chooser.Choose(s.now, s.collectBackends(q, p, accept), s.random.IntN); ok {
+	for worst := preferSound; worst <= preferSilent; worst++ {
+		if id, ok := s.traffic.chooser.Choose(s.now, s.collectBackends(q, p, worst), s.random.IntN); ok {
 			return s.backend(p.service, id)
 		}
 	}
@@ -278,14 +298,14 @@
 }
 
 // collectBackends returns the servers of the piece's service that are eligible for an attempt
-// and satisfy the condition.
-func (s *State) collectBackends(q *request, p *piece, accept func(*Backend) bool) []chooser.Candidate {
+// and have at least the preference.
+func (s *State) collectBackends(q *request, p *piece, worst preference) []chooser.Candidate {
 	candidates := s.traffic.candidates[:0]
 	d, _ := s.parameters.Duty.(EntryDuty)
 	backends := s.traffic.view.Fleet.Backends[p.service]
 	for i := range backends {
 		b := &backends[i]
-		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || !accept(b) ||
+		if slices.Contains(p.tried, b.Server) || slices.Contains(p.refused, b.Server) || s.preferenceOf(p, b) > worst ||
 			!s.withinHomes(q, b.Domain) || !s.mayTake(b, q.rank) {
 			continue
 		}
--- a/pkg/reducer/proof.go
+++ b/pkg/reducer/proof.go
@@ -60,13 +60,18 @@
 	if d.Revocation == 0 || p.Asked.Sent == 0 || p.Asked.Started != s.control.started || s.control.version < p.Version {
 		return
 	}
-	term := identifier.Micros(provenPortion * float64(d.Revocation))
+	term := d.proofTerm()
 	if s.control.proof.Renew(p.Asked.Sent, term) {
 		s.emit(Send{To: s.parameters.Host, Event: ProofRenewed{Until: s.control.proof.Until()}})
 		s.publishProof(term)
 	}
 }
 
+// proofTerm returns how long a proof holds after this host asked for it.
+func (d EntryDuty) proofTerm() identifier.Micros {
+	return identifier.Micros(provenPortion * float64(d.Revocation))
+}
+
 // askForProof notes that an entry host wants a proof, and confirms the declaration's version with a quorum
 // unless such a read is in progress or has begun just before.
 func (s *State) askForProof(host identifier.HostID, asked Stamp) {
