internal/commander: add route, which explains where a request would go

route asks GET /v1/route at the operators' address of an entry host and prints the answer as a table or JSON. internal/listener encodes it.

--- a/cmd/lagooncleat/keyed_test.go
+++ b/cmd/lagooncleat/keyed_test.go
@@ -64,17 +64,19 @@
 			status    int
 			// expected are substrings of the explanation.
 			expected []string
+			// customer is who the command "route" asks for, and routed a substring of what it prints.
+			customer, routed string
 		}{
-			{"an unknown key", "secret-other", func() {}, http.StatusUnauthorized, []string{"reason=unknown-key", "key-digest="}},
-			{"a quota that is used up", "secret-metered", func() {}, http.StatusTooManyRequests, []string{"reason=quota-exceeded", "customer=metered"}},
+			{"an unknown key", "secret-other", func() {}, http.StatusUnauthorized, []string{"reason=unknown-key", "key-digest="}, "other", "would be declined: unknown-key"},
+			{"a quota that is used up", "secret-metered", func() {}, http.StatusTooManyRequests, []string{"reason=quota-exceeded", "customer=metered"}, "metered", "would be declined: quota-exceeded"},
 			{"a quota without an owner", "secret-idle", func() {
 				for _, h := range control {
 					h.session.Kill().Wait(waitLimit)
 				}
-			}, http.StatusServiceUnavailable, []string{"reason=quota-owner-missing", "customer=idle"}},
+			}, http.StatusServiceUnavailable, []string{"reason=quota-owner-missing", "customer=idle"}, "idle", "quota: required=true"},
 			{"a host that is cut off", "secret-free", func() { time.Sleep(revocation) }, http.StatusServiceUnavailable, []string{
 				"reason=declaration-unproven", "unproven-for-us=",
-			}},
+			}, "free", "would be declined: declaration-unproven"},
 		} {
 			if c.status == http.StatusUnauthorized {
 				gomega.Expect(counterValue(entry, "lagooncleat_proof_age_seconds")).To(gomega.BeNumerically("<", revocation.Seconds()/2))
@@ -95,6 +97,10 @@
 			for _, text := range append(c.expected, "request declined") {
 				gomega.Expect(string(explanation.Out.Contents())).To(gomega.ContainSubstring(text), c.name)
 			}
+			route := s.deployment.startProcess(programPath, "route", "--host", entry.address(soakOperatorPort), "--hostname", "soak.example",
+				"--path", "/post/1", "--customer", c.customer)
+			gomega.Eventually(route, waitLimit).Should(gexec.Exit(0))
+			gomega.Expect(string(route.Out.Contents())).To(gomega.And(gomega.ContainSubstring(c.routed), gomega.ContainSubstring("route=post")), c.name)
 			if c.status == http.StatusTooManyRequests {
 				gomega.Eventually(func() float64 { return sumOf(control, "lagooncleat_quota_owner_sessions") }, waitLimit).Should(gomega.BeNumerically(">", 0))
 				gomega.Expect(fetchText("http://" + control[0].address(soakOperatorPort) + "/metrics")).To(gomega.ContainSubstring("lagooncleat_credits_held "))
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -43,6 +43,7 @@
 	c.Register(&reportCommand{streams: s}, "operate")
 	c.Register(&explainCommand{streams: s}, "operate")
 	c.Register(&statusCommand{streams: s}, "operate")
+	c.Register(&routeCommand{streams: s}, "operate")
 	c.Register(&loadCommand{streams: s}, "measure")
 }
 
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -45,6 +45,8 @@
 		h.dependencies.Exchanger.Cancel(e.Attempt, e.Grace)
 	case reducer.ReplyRequest:
 		h.requests.resolve(e.Request, e.Outcome)
+	case reducer.ReplyRoute:
+		h.routes.resolve(e.Ticket, e.Explanation)
 	case reducer.Reply:
 		h.queries.resolve(e.Request, e.Outcome)
 	default:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -119,6 +119,7 @@
 	leases     *waiters[reducer.Ticket, Lease]
 	operations *waiters[reducer.Ticket, reducer.ReplyOperator]
 	requests   *waiters[identifier.RequestID, reducer.RequestOutcome]
+	routes     *waiters[reducer.Ticket, reducer.RouteExplanation]
 	stopping   atomic.Bool
 	// pendingRecords is the queue of the storage goroutine.
 	pendingRecords *mailbox[reducer.StoreRecords]
@@ -143,6 +144,7 @@
 		leases:             newWaiters[reducer.Ticket, Lease](),
 		operations:         newWaiters[reducer.Ticket, reducer.ReplyOperator](),
 		requests:           newWaiters[identifier.RequestID, reducer.RequestOutcome](),
+		routes:             newWaiters[reducer.Ticket, reducer.RouteExplanation](),
 		pendingRecords:     newMailbox[reducer.StoreRecords](),
 		pendingServerLists: newMailbox[reducer.StoreServerList](),
 		calls:              map[identifier.AttemptID]inFlightCall{},
--- a/internal/executor/operators.go
+++ b/internal/executor/operators.go
@@ -20,6 +20,12 @@
 	return h.runOperation(ctx, ticket, reducer.ObjectsRequested{Ticket: ticket, Read: read})
 }
 
+// ExplainRoute returns where a request would go now. It returns the context's error if the context ends first.
+func (h *Host) ExplainRoute(ctx context.Context, asked reducer.RouteAsked) (reducer.RouteExplanation, error) {
+	asked.Ticket = h.newTicket()
+	return h.routes.sendAndWait(ctx, asked.Ticket, func() { h.Deliver(asked) })
+}
+
 // runOperation delivers the event and waits for the reply to its ticket.
 func (h *Host) runOperation(ctx context.Context, t reducer.Ticket, event reducer.Event) (reducer.ReplyOperator, error) {
 	return h.operations.sendAndWait(ctx, t, func() { h.Deliver(event) })
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -10,12 +10,13 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// HostViewer returns the published view and the clock of a host, and delivers events to
-// the host. executor.Host implements it.
+// HostViewer returns the published view and the clock of a host, delivers events to the host, and
+// explains its routes. executor.Host implements it.
 type HostViewer interface {
 	View() *reducer.View
 	Now() identifier.Instant
 	Deliverer
+	RouteExplainer
 }
 
 // operatorHandler serves the HTTP interface for operators and for the platform's load balancer.
@@ -37,6 +38,7 @@
 	mux.HandleFunc("GET /v1/status", o.status)
 	mux.HandleFunc("GET /v1/burn", o.serveBurn)
 	(&configurationHandler{host: host, runner: r}).register(mux)
+	mux.HandleFunc("GET /v1/route", (&routeHandler{host: host, explainer: v}).explain)
 	(&quarantineHandler{deliverer: v}).register(mux)
 	return mux
 }
--- a/internal/listener/quarantine_test.go
+++ b/internal/listener/quarantine_test.go
@@ -1,6 +1,7 @@
 package listener_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 
@@ -16,8 +17,15 @@
 // recordingHost records the events delivered to it.
 type recordingHost struct{ events []reducer.Event }
 
-func (r *recordingHost) View() *reducer.View         { return &reducer.View{} }
-func (r *recordingHost) Now() identifier.Instant     { return 0 }
+func (r *recordingHost) View() *reducer.View     { return &reducer.View{} }
+func (r *recordingHost) Now() identifier.Instant { return 0 }
+func (r *recordingHost) ExplainRoute(_ context.Context, asked reducer.RouteAsked) (reducer.RouteExplanation, error) {
+	r.events = append(r.events, asked)
+	return reducer.RouteExplanation{Declined: reducer.UnknownKey, Services: []reducer.ServiceExplanation{{
+		Service: "archive", Candidates: []reducer.CandidateExplanation{{Server: "archive-1", PassedOver: "evacuated"}},
+	}}}, nil
+}
+
 func (r *recordingHost) Deliver(event reducer.Event) { r.events = append(r.events, event) }
 
 var _ = ginkgo.Describe("the quarantine release request", func() {
