--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -109,6 +109,7 @@
 	control      *loop
 	traffic      []*loop
 	view         atomic.Pointer[reducer.View]
+	permissions  atomic.Pointer[reducer.Permissions]
 	group        sync.WaitGroup
 	context      context.Context
 	cancel       context.CancelFunc
@@ -118,6 +119,7 @@
 	leases     *waiters[reducer.Ticket, Lease]
 	operations *waiters[reducer.Ticket, reducer.ReplyOperator]
 	requests   *waiters[identifier.RequestID, reducer.RequestOutcome]
+	routes     *waiters[reducer.Ticket, reducer.RouteExplanation]
 	stopping   atomic.Bool
 	// pendingRecords is the queue of the storage goroutine.
 	pendingRecords *mailbox[reducer.StoreRecords]
@@ -142,11 +144,13 @@
 		leases:             newWaiters[reducer.Ticket, Lease](),
 		operations:         newWaiters[reducer.Ticket, reducer.ReplyOperator](),
 		requests:           newWaiters[identifier.RequestID, reducer.RequestOutcome](),
+		routes:             newWaiters[reducer.Ticket, reducer.RouteExplanation](),
 		pendingRecords:     newMailbox[reducer.StoreRecords](),
 		pendingServerLists: newMailbox[reducer.StoreServerList](),
 		calls:              map[identifier.AttemptID]inFlightCall{},
 	}
 	h.view.Store(&reducer.View{})
+	h.permissions.Store(&reducer.Permissions{})
 	h.control = newLoop(h)
 	for range p.TrafficStates {
 		h.traffic = append(h.traffic, newLoop(h))
@@ -216,6 +220,11 @@
 	return h.view.Load()
 }
 
+// Permissions returns the permissions that the control state published last.
+func (h *Host) Permissions() *reducer.Permissions {
+	return h.permissions.Load()
+}
+
 // Now returns the current instant on the host's clock.
 func (h *Host) Now() identifier.Instant {
 	return h.clock.now()
