pkg/permitter: let limits in windows of a second have a shorter term

Allotments last for 3 s, which is longer than the window of a cold server's limit. The term and the rule for new owners are now parameters (Terms). By BriefTerms, a new owner waits until all earlier allotments have ended.

Two faults of holders and owners that such terms meet at once are corrected: a holder that was idle for an account forgot its counters while the session went on, and counted all earlier grants again; an owner dereferenced nil when a session ended after one of its accounts was removed. The tests for both failed before the change.

--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -66,6 +66,7 @@
 	owner     identifier.HostID
 	began     identifier.Instant
 	tolerance Tolerance
+	terms     Terms
 	accounts  map[A]*account
 	sessions  map[identifier.HostID]*session[A]
 	lastBegan identifier.Instant
@@ -109,15 +110,15 @@
 }
 
 // NewAllotter returns an Allotter of a host that has become the owner now.
-func NewAllotter[A cmp.Ordered](now identifier.Instant, owner identifier.HostID, t Tolerance) *Allotter[A] {
+func NewAllotter[A cmp.Ordered](now identifier.Instant, owner identifier.HostID, t Tolerance, terms Terms) *Allotter[A] {
 	return &Allotter[A]{
-		owner: owner, began: now, tolerance: t,
+		owner: owner, began: now, tolerance: t, terms: terms,
 		accounts: map[A]*account{}, sessions: map[identifier.HostID]*session[A]{},
 	}
 }
 
 // SetLimits replaces all limits. A limit that was lowered holds at once for what is not allotted yet; what is
-// allotted is spent or ends within Term. An account that was not known before counts as one of a new owner, since
+// allotted is spent or ends within the term. An account that was not known before counts as one of a new owner, since
 // it may have had a limit before and lost it for a while.
 func (o *Allotter[A]) SetLimits(now identifier.Instant, limits map[A]Limit) {
 	for id, a := range o.accounts {
@@ -135,7 +136,10 @@
 			continue
 		}
 		start := max(now, o.began.Add(Overlap))
-		o.accounts[id] = &account{limit: limit, filledAt: start, fullFrom: start.Add(Term)}
+		if o.terms.Waits {
+			start = max(now, o.began.Add(Overlap+o.terms.Term))
+		}
+		o.accounts[id] = &account{limit: limit, filledAt: start, fullFrom: start.Add(o.terms.Term)}
 	}
 }
 
@@ -153,7 +157,7 @@
 
 // maximum returns the highest level of an account at an instant.
 func (o *Allotter[A]) maximum(now identifier.Instant, a *account) float64 {
-	if now < a.fullFrom {
+	if now < a.fullFrom && !o.terms.Waits {
 		return o.tolerance.maximumAtFirst(a.limit)
 	}
 	return o.tolerance.maximum(a.limit)
@@ -174,7 +178,7 @@
 		s = o.beginSession(now, holder, r.Asked.Process)
 	}
 	s.asked = max(s.asked, r.Asked.At)
-	s.until = now.Add(Term)
+	s.until = now.Add(o.terms.Term)
 	answer := Answer[A]{Session: s.id, Asked: r.Asked}
 	for _, reported := range r.Accounts {
 		answer.Accounts = append(answer.Accounts, o.allot(now, s, reported, continued))
@@ -207,7 +211,10 @@
 // endSession counts everything that was allotted and not reported as spent.
 func (o *Allotter[A]) endSession(holder identifier.HostID, s *session[A]) {
 	for id, x := range s.shares {
-		o.spend(o.accounts[id], x.unspent())
+		// An account that was removed had nothing reserved.
+		if a, ok := o.accounts[id]; ok {
+			o.spend(a, x.unspent())
+		}
 	}
 	delete(o.sessions, holder)
 }
@@ -244,7 +251,7 @@
 	o.violated = o.violated || !a.withinEarnings() || x.unspent() < 0
 	answer := Allotment[A]{Account: r.Account, Granted: x.granted}
 	if x.unspent() < max(1, r.Waiting) {
-		answer.RetryAfter = a.retryAfter(now)
+		answer.RetryAfter = a.retryAfter(now, o.terms.Term)
 	}
 	return answer
 }
@@ -268,14 +275,14 @@
 	}
 }
 
-// retryAfter returns how long it takes until a request can be granted.
-func (a *account) retryAfter(now identifier.Instant) identifier.Micros {
+// retryAfter returns how long it takes until a request can be granted: the term if none accrue.
+func (a *account) retryAfter(now identifier.Instant, term identifier.Micros) identifier.Micros {
 	missing := 1 - (a.level - float64(a.reserved))
 	if missing <= 0 {
 		return 0
 	}
 	if a.limit.Rate <= 0 {
-		return Term
+		return term
 	}
 	wait := identifier.Micros(missing / a.limit.perSecond() * float64(identifier.Second))
 	return wait + max(0, a.filledAt.Since(now))
--- a/pkg/permitter/doc.go
+++ b/pkg/permitter/doc.go
@@ -22,11 +22,17 @@
 // to a lower maximum level for Term. Both maximums together stay within the burst and the tolerance of the
 // limit, also if the owner changes twice within Term. An election takes at least a fifth of it.
 //
+// That leaves a quarter of the tolerance as the level, which is too little where a window is a second: allotments
+// that last for Term would allow several windows' worth. By BriefTerms, allotments last for BriefTerm, and a new owner
+// refills only after Overlap and BriefTerm, when nothing that its predecessors allotted can be spent. Then at any
+// instant, what can be spent is at most one maximum level, however often the owner changes, and the rest of the
+// tolerance covers the time for which a request that was taken may be on its way (Tolerance.Margin).
+//
 // # Usage
 //
-//	owner := permitter.NewAllotter[identifier.CustomerID](now, "control-1", tolerance)
+//	owner := permitter.NewAllotter[identifier.CustomerID](now, "control-1", tolerance, permitter.QuotaTerms)
 //	owner.SetLimits(now, limits)
-//	holder := permitter.NewHolder[identifier.CustomerID]()
+//	holder := permitter.NewHolder[identifier.CustomerID](permitter.QuotaTerms)
 //	holder.Use(now, "clinic")
 //	if !holder.Take(now, "clinic") {
 //		answer := owner.Handle(now, "host-1", holder.Report(now, reading))
--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -9,22 +9,17 @@
 )
 
 const (
-	// coverTime is how much of its recent demand a holder wants to hold, so that requests need not wait for the
-	// owner, and most go on while another one is elected.
-	coverTime = Term
-	// idleTime is the time without requests of an account after which a holder returns what it holds. An account
-	// with one request in ten seconds at this host still finds one.
-	idleTime = 10 * identifier.Second
 	// reportDelay is how long a holder collects what it has spent before it reports it.
 	reportDelay = 100 * identifier.Millisecond
-	// renewInterval is the time between reports that renew what is held.
-	renewInterval = Term / 6
+	// renewalsPerTerm is how many reports in a term renew what is held.
+	renewalsPerTerm = 6
 	// answerTimeout is how long a holder waits for an answer before it reports again.
 	answerTimeout = 100 * identifier.Millisecond
 )
 
 // Holder keeps the allotments of one host. It is not safe for concurrent use.
 type Holder[A cmp.Ordered] struct {
+	terms   Terms
 	session SessionID
 	valid   Permission
 	// earlier is the permission of what was held when the session last changed.
@@ -48,7 +43,7 @@
 	sentAt          identifier.Instant
 	// waiting counts the requests that wait for an allotment.
 	waiting Requests
-	// demand is a count of requests that decays with coverTime, updated at usedAt.
+	// demand is a count of requests that decays with the term, updated at usedAt.
 	demand float64
 	usedAt identifier.Instant
 	// deniedUntil is when the owner has more to grant, and unknown is set while it knows no limit.
@@ -59,25 +54,26 @@
 type counters struct{ spent, undone, returned Requests }
 
 // NewHolder returns a Holder that holds nothing.
-func NewHolder[A cmp.Ordered]() *Holder[A] {
-	return &Holder[A]{shares: map[A]*held{}, answered: true}
+func NewHolder[A cmp.Ordered](t Terms) *Holder[A] {
+	return &Holder[A]{terms: t, shares: map[A]*held{}, answered: true}
 }
 
 func (x *held) unspent() Requests {
 	return x.granted - x.spent + x.undone - x.returned
 }
 
-// target returns how many requests the host wants to hold.
-func (x *held) target(now identifier.Instant) Requests {
-	if now.Since(x.usedAt) >= idleTime {
+// target returns how many requests the host wants to hold: its recent demand within a term, so that requests need
+// not wait for the owner, and most go on while another one is elected.
+func (h *Holder[A]) target(now identifier.Instant, x *held) Requests {
+	if now.Since(x.usedAt) >= h.terms.Idle {
 		return x.waiting
 	}
-	return x.waiting + max(1, Requests(math.Ceil(x.decayed(now)-0.5)))
+	return x.waiting + max(1, Requests(math.Ceil(h.decayed(now, x)-0.5)))
 }
 
 // decayed returns the demand at an instant.
-func (x *held) decayed(now identifier.Instant) float64 {
-	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(coverTime))
+func (h *Holder[A]) decayed(now identifier.Instant, x *held) float64 {
+	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(h.terms.Term))
 }
 
 // Use records the demand of one request. It must be called once for each, before Take.
@@ -87,7 +83,7 @@
 		x = &held{}
 		h.shares[id] = x
 	}
-	x.demand = x.decayed(now) + 1
+	x.demand = h.decayed(now, x) + 1
 	x.usedAt = now
 }
 
@@ -204,11 +200,11 @@
 			next = min(next, now)
 		case x.waiting > 0:
 			next = min(next, x.deniedUntil)
-		case x.unspent() < x.target(now):
+		case x.unspent() < h.target(now, x):
 			next = min(next, max(x.deniedUntil, h.reportedAt.Add(reportDelay)))
 		}
 		if x.unspent() > 0 {
-			next = min(next, h.reportedAt.Add(renewInterval))
+			next = min(next, h.reportedAt.Add(h.terms.Term/renewalsPerTerm))
 		}
 	}
 	if !h.answered {
@@ -224,13 +220,16 @@
 	h.reportedAt, h.answered, h.changed = now, false, false
 	r := Report[A]{Session: h.session, Asked: asked}
 	for id, x := range h.shares {
-		target := x.target(now)
+		target := h.target(now, x)
 		if target == 0 && x.unspent() > 0 {
 			x.returned += x.unspent()
 		}
 		known := counters{x.spent, x.undone, x.returned}
 		if target == 0 && known == x.confirmed {
-			delete(h.shares, id)
+			// The owner keeps the counters of the session, so they must not begin anew within it.
+			if known == (counters{}) && x.granted == 0 {
+				delete(h.shares, id)
+			}
 			continue
 		}
 		if known == x.confirmed && (x.unspent() >= target || (x.waiting == 0 && x.deniedUntil > now)) {
@@ -247,7 +246,7 @@
 
 // Receive records the owner's answer to a report of this process.
 func (h *Holder[A]) Receive(now identifier.Instant, a Answer[A]) {
-	if a.Session == (SessionID{}) || a.Asked.At > now || a.Asked.At.Add(Term) <= now {
+	if a.Session == (SessionID{}) || a.Asked.At > now || a.Asked.At.Add(h.terms.Term) <= now {
 		return
 	}
 	if a.Session != h.session {
@@ -257,7 +256,7 @@
 		}
 		h.changeSession(now, a.Session)
 	}
-	h.valid.Renew(a.Asked.At, Term)
+	h.valid.Renew(a.Asked.At, h.terms.Term)
 	h.answered = h.answered || a.Asked.At == h.reportedAt
 	for _, x := range a.Accounts {
 		known, ok := h.shares[x.Account]
--- a/pkg/permitter/permitter_bench_test.go
+++ b/pkg/permitter/permitter_bench_test.go
@@ -36,7 +36,7 @@
 	var proof permitter.Permission
 	proof.Renew(identifier.Instant(identifier.Minute), identifier.Second)
 	now := identifier.Instant(identifier.Minute)
-	holder := permitter.NewHolder[customer]()
+	holder := permitter.NewHolder[customer](permitter.QuotaTerms)
 	for i := range customers {
 		holder.Use(now, customers[i].ID)
 	}
@@ -104,7 +104,7 @@
 	limit := permitter.Limit{Rate: 5, Burst: 5}
 	random := rand.New(rand.NewPCG(1, 1))
 	now := identifier.Instant(identifier.Minute)
-	owner := permitter.NewAllotter[customer](now, "owner", tolerance)
+	owner := permitter.NewAllotter[customer](now, "owner", tolerance, permitter.QuotaTerms)
 	limits := map[customer]permitter.Limit{}
 	for i := range customers {
 		limits[customer(fmt.Sprintf("c-%d", i))] = limit
@@ -113,7 +113,7 @@
 	ids := owner.Accounts()
 	holders := make([]*permitter.Holder[customer], hosts)
 	for i := range holders {
-		holders[i] = permitter.NewHolder[customer]()
+		holders[i] = permitter.NewHolder[customer](permitter.QuotaTerms)
 	}
 	type waiting struct {
 		host int
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -23,19 +23,25 @@
 
 type customer = identifier.CustomerID
 
-var tolerance = permitter.Tolerance{Window: 5 * identifier.Second, Overage: 0.1, Slack: 20}
+var (
+	tolerance = permitter.Tolerance{Window: 5 * identifier.Second, Overage: 0.1, Slack: 20}
+	// briefTolerance is that of servers that are cold.
+	briefTolerance = permitter.Tolerance{Window: identifier.Second, Overage: 0.5, Slack: 5}
+)
 
 // limitOf returns the greatest number of requests in a window that the tolerance allows.
-func limitOf(l permitter.Limit) int {
-	window := float64(tolerance.Window) / float64(identifier.Second)
-	return int((float64(l.Rate)*window+l.Burst)*(1+float64(tolerance.Overage)) + tolerance.Slack)
+func limitOf(l permitter.Limit) int { return limitWith(tolerance, l) }
+
+func limitWith(t permitter.Tolerance, l permitter.Limit) int {
+	window := float64(t.Window) / float64(identifier.Second)
+	return int((float64(l.Rate)*window+l.Burst)*(1+float64(t.Overage)) + t.Slack)
 }
 
 func Example() {
-	owner := permitter.NewAllotter[customer](0, "control-1", tolerance)
+	owner := permitter.NewAllotter[customer](0, "control-1", tolerance, permitter.QuotaTerms)
 	owner.SetLimits(0, map[customer]permitter.Limit{"clinic": {Rate: 2, Burst: 2}})
 	now := identifier.Instant(10 * identifier.Second)
-	holder := permitter.NewHolder[customer]()
+	holder := permitter.NewHolder[customer](permitter.QuotaTerms)
 	holder.Use(now, "clinic")
 	fmt.Println(holder.Take(now, "clinic"))
 	answer := owner.Handle(now, "host-1", holder.Report(permitter.Reading{Process: 1, At: now}))
@@ -48,11 +54,13 @@
 
 // cluster plays owners and holders whose messages are late, lost and repeated.
 type cluster struct {
-	random  *rand.Rand
-	now     identifier.Instant
-	limits  map[customer]permitter.Limit
-	owners  []*owner
-	holders []*holder
+	random    *rand.Rand
+	now       identifier.Instant
+	terms     permitter.Terms
+	tolerance permitter.Tolerance
+	limits    map[customer]permitter.Limit
+	owners    []*owner
+	holders   []*holder
 	// changes holds when the owner changed.
 	changes []identifier.Instant
 	// inTransit are the messages on their way.
@@ -79,6 +87,8 @@
 	keeper *permitter.Holder[customer]
 	// frozenUntil is when the holder's process runs again, by the time.
 	frozenUntil identifier.Instant
+	// waiting holds the customers of which a request waits.
+	waiting map[customer]bool
 	// undone holds the customers of requests that were taken and did not run.
 	undone []customer
 }
@@ -93,25 +103,26 @@
 	answer  *permitter.Answer[customer]
 }
 
-func newCluster(seed uint64, hosts int) *cluster {
+func newCluster(seed uint64, hosts int, terms permitter.Terms, t permitter.Tolerance, limits map[customer]permitter.Limit) *cluster {
 	c := &cluster{
+		terms: terms, tolerance: t, limits: limits,
 		random: rand.New(rand.NewPCG(seed, 1)), now: identifier.Instant(100 * identifier.Second), spent: map[customer][]identifier.Instant{},
-		limits: map[customer]permitter.Limit{"small": {Rate: 1.2, Burst: 1.2}, "large": {Rate: 34, Burst: 34}, "slow": {Rate: 0.1}},
 	}
 	for i := range hosts {
 		c.holders = append(c.holders, &holder{
 			id: identifier.HostID(fmt.Sprintf("host-%d", i)), process: 1, offset: identifier.Micros(c.random.Int64N(int64(identifier.Minute))),
-			keeper: permitter.NewHolder[customer](),
+			keeper: permitter.NewHolder[customer](terms), waiting: map[customer]bool{},
 		})
 	}
 	c.changeOwner()
 	return c
 }
 
-// mayChangeOwner reports whether the owner has changed at most once within Term, which another change makes two.
+// mayChangeOwner reports whether the owner has changed at most once within Term, which another change makes two. If
+// new owners wait, they may change at any time.
 func (c *cluster) mayChangeOwner() bool {
 	n := len(c.changes)
-	return n < 2 || c.now.Since(c.changes[n-2]) > permitter.Term+permitter.Overlap
+	return n < 2 || c.terms.Waits || c.now.Since(c.changes[n-2]) > permitter.Term+permitter.Overlap
 }
 
 // changeOwner makes another host the owner. The previous one stops within Overlap.
@@ -120,7 +131,7 @@
 		c.owners[n-1].until = min(c.owners[n-1].until, c.now.Add(identifier.Micros(c.random.Int64N(int64(permitter.Overlap)))))
 	}
 	o := &owner{
-		allotter: permitter.NewAllotter[customer](c.now, identifier.HostID(fmt.Sprintf("control-%d", len(c.owners))), tolerance),
+		allotter: permitter.NewAllotter[customer](c.now, identifier.HostID(fmt.Sprintf("control-%d", len(c.owners))), c.tolerance, c.terms),
 		until:    identifier.Never,
 	}
 	o.allotter.SetLimits(c.now, c.limits)
@@ -166,7 +177,8 @@
 	case n >= 2 && n < 5:
 		h.frozenUntil = c.now.Add(identifier.Micros(c.random.Int64N(int64(8 * identifier.Second))))
 	case n == 5:
-		h.process, h.keeper, h.undone = h.process+1, permitter.NewHolder[customer](), nil
+		h.process, h.keeper, h.undone = h.process+1, permitter.NewHolder[customer](c.terms), nil
+		clear(h.waiting)
 	case h.frozenUntil > c.now:
 	case n < requests:
 		c.request(h)
@@ -189,7 +201,13 @@
 func (c *cluster) request(h *holder) {
 	id := []customer{"small", "large", "large", "large", "slow"}[c.random.IntN(5)]
 	h.keeper.Use(h.clock(c.now), id)
-	if !h.keeper.Take(h.clock(c.now), id) {
+	taken := h.keeper.Take(h.clock(c.now), id)
+	if c.terms.Idle == 0 && taken == h.waiting[id] {
+		// Nothing is held for requests to come, so one of each customer waits.
+		h.waiting[id] = !taken
+		h.keeper.Wait(id, map[bool]permitter.Requests{true: -1, false: 1}[taken])
+	}
+	if !taken {
 		return
 	}
 	if c.random.IntN(20) == 0 {
@@ -198,9 +216,9 @@
 		return
 	}
 	c.taken++
-	window := slices.DeleteFunc(c.spent[id], func(at identifier.Instant) bool { return c.now.Since(at) >= tolerance.Window })
+	window := slices.DeleteFunc(c.spent[id], func(at identifier.Instant) bool { return c.now.Since(at) >= c.tolerance.Window })
 	c.spent[id] = append(window, c.now)
-	gomega.Expect(len(c.spent[id])).To(gomega.BeNumerically("<=", limitOf(c.limits[id])), "requests of %s within a window, at %d", id, c.now)
+	gomega.Expect(len(c.spent[id])).To(gomega.BeNumerically("<=", limitWith(c.tolerance, c.limits[id])), "requests of %s within a window, at %d", id, c.now)
 }
 
 func (c *cluster) deliver() {
@@ -234,17 +252,24 @@
 }
 
 var _ = ginkgo.Describe("allotments", func() {
+	quotas := map[customer]permitter.Limit{"small": {Rate: 1.2, Burst: 1.2}, "large": {Rate: 34, Burst: 34}, "slow": {Rate: 0.1}}
+	coldServers := map[customer]permitter.Limit{"small": {Rate: 5}, "large": {Rate: 60}, "slow": {Rate: 0.5}}
 	for _, c := range []struct {
-		name  string
-		hosts int
-		seed  uint64
+		name      string
+		hosts     int
+		seed      uint64
+		terms     permitter.Terms
+		tolerance permitter.Tolerance
+		limits    map[customer]permitter.Limit
 	}{
-		{"stay within the limit with a few hosts", 3, 1},
-		{"stay within the limit with many hosts", 60, 2},
-		{"stay within the limit with a single host", 1, 3},
+		{"stay within the limit with a few hosts", 3, 1, permitter.QuotaTerms, tolerance, quotas},
+		{"stay within the limit with many hosts", 60, 2, permitter.QuotaTerms, tolerance, quotas},
+		{"stay within the limit with a single host", 1, 3, permitter.QuotaTerms, tolerance, quotas},
+		{"stay within the limit of a second with a few hosts", 3, 4, permitter.BriefTerms, briefTolerance, coldServers},
+		{"stay within the limit of a second with many hosts", 60, 5, permitter.BriefTerms, briefTolerance, coldServers},
 	} {
 		ginkgo.It(c.name+" while owners change, hosts freeze and messages are late, lost or repeated", func() {
-			x := newCluster(c.seed, c.hosts)
+			x := newCluster(c.seed, c.hosts, c.terms, c.tolerance, c.limits)
 			for i := range *randomEvents {
 				x.step()
 				if i%10000 == 0 {
@@ -257,17 +282,17 @@
 	}
 
 	// start returns an owner with a full level and a holder.
-	start := func(l permitter.Limit) (*permitter.Allotter[customer], *permitter.Holder[customer], identifier.Instant) {
-		o := permitter.NewAllotter[customer](0, "control-1", tolerance)
+	start := func(l permitter.Limit, t permitter.Terms) (*permitter.Allotter[customer], *permitter.Holder[customer], identifier.Instant) {
+		o := permitter.NewAllotter[customer](0, "control-1", tolerance, t)
 		o.SetLimits(0, map[customer]permitter.Limit{"a": l})
-		return o, permitter.NewHolder[customer](), identifier.Instant(identifier.Minute)
+		return o, permitter.NewHolder[customer](t), identifier.Instant(identifier.Minute)
 	}
 	exchange := func(o *permitter.Allotter[customer], h *permitter.Holder[customer], now identifier.Instant) {
 		h.Receive(now, o.Handle(now, "host", h.Report(permitter.Reading{Process: 1, At: now})))
 	}
 
 	ginkgo.It("end a term after the holder asked", func() {
-		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10})
+		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10}, permitter.QuotaTerms)
 		h.Use(now, "a")
 		exchange(o, h, now)
 		gomega.Expect(h.Held(now.Add(permitter.Term-1), "a")).To(gomega.BeNumerically(">", 0))
@@ -275,7 +300,7 @@
 	})
 
 	ginkgo.It("are denied beyond the limit, until more can be granted", func() {
-		o, h, now := start(permitter.Limit{Rate: 2, Burst: 2})
+		o, h, now := start(permitter.Limit{Rate: 2, Burst: 2}, permitter.QuotaTerms)
 		for range limitOf(permitter.Limit{Rate: 2, Burst: 2}) {
 			h.Use(now, "a")
 			if !h.Take(now, "a") {
@@ -291,7 +316,7 @@
 	})
 
 	ginkgo.It("of requests that did not run are used again", func() {
-		o, h, now := start(permitter.Limit{Burst: 1})
+		o, h, now := start(permitter.Limit{Burst: 1}, permitter.QuotaTerms)
 		h.Use(now, "a")
 		exchange(o, h, now)
 		held := h.Held(now, "a")
@@ -302,7 +327,7 @@
 	})
 
 	ginkgo.It("go back to the owner when a holder is idle", func() {
-		o, h, now := start(permitter.Limit{Rate: 1, Burst: 1})
+		o, h, now := start(permitter.Limit{Rate: 1, Burst: 1}, permitter.QuotaTerms)
 		h.Use(now, "a")
 		exchange(o, h, now)
 		gomega.Expect(o.Held("a")).To(gomega.BeNumerically(">", 0))
@@ -314,8 +339,48 @@
 		gomega.Expect(h.NextReport(now)).To(gomega.Equal(identifier.Never))
 	})
 
+	// The owner keeps the counters of a session, and a holder that began anew would count all its grants again.
+	ginkgo.It("are not granted again after an account was idle in a session", func() {
+		for _, terms := range []permitter.Terms{permitter.QuotaTerms, permitter.BriefTerms} {
+			o, h, now := start(permitter.Limit{Rate: 100, Burst: 10}, terms)
+			spend := func() (taken int) {
+				h.Use(now, "a")
+				h.Wait("a", 1)
+				exchange(o, h, now)
+				h.Wait("a", -1)
+				for h.Take(now, "a") {
+					taken++
+				}
+				return taken
+			}
+			first := spend()
+			for range 200 {
+				now = now.Add(100 * identifier.Millisecond)
+				h.Use(now, "b")
+				exchange(o, h, now)
+			}
+			gomega.Expect(first).To(gomega.BeNumerically(">", 0))
+			gomega.Expect(spend()).To(gomega.Equal(first))
+		}
+	})
+
+	// A session may outlast the limit of an account, as that of a server that is no longer cold.
+	ginkgo.It("of an account that has been removed end with the session", func() {
+		o, h, now := start(permitter.Limit{Rate: 1, Burst: 1}, permitter.BriefTerms)
+		h.Use(now, "a")
+		h.Wait("a", 1)
+		exchange(o, h, now)
+		h.Wait("a", -1)
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeTrue())
+		exchange(o, h, now.Add(identifier.Millisecond))
+		o.SetLimits(now, nil)
+		now = now.Add(2 * permitter.BriefTerm)
+		exchange(o, h, now)
+		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
-		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100})
+		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100}, permitter.QuotaTerms)
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
 		for range 200 {
 			h.Use(now, "a")
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -213,7 +213,7 @@
 
 func newCreditDesk() creditDesk {
 	return creditDesk{
-		holder: permitter.NewHolder[identifier.CustomerID](), waiting: map[identifier.CustomerID][]waitingCredit{}, reportAt: identifier.Never,
+		holder: permitter.NewHolder[identifier.CustomerID](permitter.QuotaTerms), waiting: map[identifier.CustomerID][]waitingCredit{}, reportAt: identifier.Never,
 	}
 }
 
@@ -346,7 +346,7 @@
 // ownQuotas makes this host, which has become the leader, the owner of the quotas.
 func (s *State) ownQuotas() {
 	if tolerance, ok := s.tolerance(); ok {
-		s.control.credits.owner = permitter.NewAllotter[identifier.CustomerID](s.now, s.parameters.Host, tolerance)
+		s.control.credits.owner = permitter.NewAllotter[identifier.CustomerID](s.now, s.parameters.Host, tolerance, permitter.QuotaTerms)
 		s.updateQuotas()
 	}
 }
