pkg/reducer: send attempts to cold servers on credits only

A cold server took what all entry hosts sent it. With the setting fleet.warm-up, a server of a service with a WarmUpRate is a candidate while it is cold only at hosts that hold a credit for it.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -59,6 +59,10 @@
 	reducer.CreditRequested{},
 	reducer.CreditReturned{},
 	reducer.CreditAnswered{},
+	reducer.ColdCreditRequested{},
+	reducer.ColdCreditAnswered{},
+	reducer.ColdAllotmentsRequested{},
+	reducer.ColdAllotmentsSent{},
 }
 
 var tags = indexTags()
--- a/internal/loader/fleet.go
+++ b/internal/loader/fleet.go
@@ -53,6 +53,24 @@
 	if f.EvacuationMillis < 0 {
 		d.addFault("fleet.evacuation-ms", "must not be negative")
 	}
+	d.checkWarmUp(f)
+}
+
+// minWarmUpSlack is the slack from which one request can be allotted at any rate: the level is a quarter of what is
+// allowed beyond the rate.
+const minWarmUpSlack = 4
+
+// checkWarmUp validates the limits of cold servers, if there are any.
+func (d *document) checkWarmUp(f *Fleet) {
+	if f.WarmUp.Overage == 0 && f.WarmUp.Slack == 0 {
+		return
+	}
+	if f.WarmUp.Overage < 1 {
+		d.addFault("fleet.warm-up.overage", "must be at least 1")
+	}
+	if f.WarmUp.Slack < minWarmUpSlack {
+		d.addFault("fleet.warm-up.slack", fmt.Sprintf("must be at least %d", minWarmUpSlack))
+	}
 }
 
 // KnownRegions returns the regions of the settings, sorted and without duplicates; none if the settings don't
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -124,6 +124,13 @@
 	// EvacuationMillis is how soon an acknowledged order to evacuate a failure domain is in force, in
 	// milliseconds; 0 disables the orders.
 	EvacuationMillis float64 `yaml:"evacuation-ms"`
+	// WarmUp is by how much servers that are cold may get more than the rate that the declaration sets for them, in
+	// any second. Without it, that rate has no effect.
+	WarmUp struct {
+		// Overage is a factor of the rate, and Slack a number of requests.
+		Overage identifier.Ratio `yaml:"overage"`
+		Slack   float64          `yaml:"slack"`
+	} `yaml:"warm-up"`
 }
 
 // Control holds the settings of the hosts that maintain the replicated log.
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -99,8 +99,13 @@
 			Revocation: identifier.Micros(s.Fleet.RevocationMillis) * identifier.Millisecond,
 			Quotas:     s.Fleet.Quota.WindowMillis > 0,
 			Regions:    s.Fleet.Regions,
+			WarmUp:     s.Fleet.WarmUp.Overage > 0,
 		}
 	}
+	warmUp := permitter.Tolerance{}
+	if s.Fleet.WarmUp.Overage > 0 {
+		warmUp = permitter.Tolerance{Window: identifier.Second, Overage: s.Fleet.WarmUp.Overage - 1, Slack: s.Fleet.WarmUp.Slack}
+	}
 	return reducer.ControlDuty{
 		Seeds: seeds, Founder: s.Fleet.Founder, Announcements: s.Listen.BackendServers,
 		AnnouncementInterval: identifier.Micros(s.Fleet.AnnouncementIntervalMillis) * identifier.Millisecond,
@@ -110,5 +115,6 @@
 			Overage: s.Fleet.Quota.Overage, Slack: s.Fleet.Quota.Slack,
 		},
 		Regions: s.Fleet.Regions,
+		WarmUp:  warmUp,
 	}
 }
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -36,6 +36,8 @@
 type (
 	// Incarnation is the start count of a backend server. A higher incarnation supersedes a lower one.
 	Incarnation uint64
+	// ServerRun identifies one incarnation of one backend server.
+	ServerRun string
 	// Sequence is the sequence number of an announcement within one incarnation.
 	Sequence uint64
 	// Epoch is the number of a partition of a customer's hash space.
--- a/pkg/reducer/address.go
+++ b/pkg/reducer/address.go
@@ -49,17 +49,22 @@
 	if d := s.control.serverList.declaration; d != nil {
 		return slices.ContainsFunc(d.Services, func(x declarer.Service) bool { return x.ID == service })
 	}
+	return s.declaredService(service) != nil
+}
+
+// declaredService returns a service of the committed declaration, on a control host; nil if it names none.
+func (s *State) declaredService(service identifier.ServiceID) *declarer.Service {
 	d := &s.control.declared
 	source := s.control.replicated.source.Source
 	if source.Version != d.version {
-		d.version, d.services = source.Version, map[identifier.ServiceID]bool{}
+		d.version, d.services = source.Version, map[identifier.ServiceID]*declarer.Service{}
 		declaration, err := s.interpret(source)
 		if err != nil {
 			s.log(ConfigurationSubsystem, Error, "cannot interpret declaration", Field{"reason", err.Error()})
-			return false
+			return nil
 		}
 		for i := range declaration.Services {
-			d.services[declaration.Services[i].ID] = true
+			d.services[declaration.Services[i].ID] = &declaration.Services[i]
 		}
 	}
 	return d.services[service]
@@ -68,7 +73,7 @@
 // declaredServices are the services that the declaration with the version names, on a control host.
 type declaredServices struct {
 	version  identifier.Version
-	services map[identifier.ServiceID]bool
+	services map[identifier.ServiceID]*declarer.Service
 }
 
 // outranks reports whether only the first of two services is declared: an announcement for a service that
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -194,6 +194,7 @@
 		s.proposeImport()
 	}
 	s.ownQuotas()
+	s.ownColdServers()
 	s.publishControlStatus()
 }
 
@@ -201,6 +202,7 @@
 // that have not reached apply may or may not be committed.
 func (s *State) leadershipLost() {
 	s.control.credits.owner = nil
+	s.control.cold.owner = nil
 	s.redirectWaiters()
 	s.publishControlStatus()
 }
--- a/pkg/reducer/duty.go
+++ b/pkg/reducer/duty.go
@@ -30,6 +30,8 @@
 		Quotas bool
 		// Regions holds the region of each failure domain; it may be empty.
 		Regions map[identifier.DomainID]identifier.RegionID
+		// WarmUp is set if cold servers get no attempts beyond their limits.
+		WarmUp bool
 	}
 	// ControlDuty is the role of a host that stores the replicated log and the server list
 	// and serves both to entry hosts.
@@ -49,6 +51,8 @@
 		Quotas permitter.Tolerance
 		// Regions is as in EntryDuty. If it is set, there are no other failure domains.
 		Regions map[identifier.DomainID]identifier.RegionID
+		// WarmUp is by how much cold servers may get more than their limits. If its Window is 0, they have none.
+		WarmUp permitter.Tolerance
 	}
 )
 
--- a/pkg/reducer/evacuation.go
+++ b/pkg/reducer/evacuation.go
@@ -218,6 +218,11 @@
 	if slices.Equal(before, e.Domains) {
 		return
 	}
+	for _, d := range before {
+		if !slices.Contains(e.Domains, d) {
+			s.control.cold.returned[d] = s.now
+		}
+	}
 	s.publish()
 	s.notifySubscribers()
 }
@@ -235,6 +240,9 @@
 func (s *State) resetReturned(v *FleetView) {
 	ended := slices.DeleteFunc(s.traffic.evacuated, func(d identifier.DomainID) bool { return slices.Contains(v.Evacuated, d) })
 	s.traffic.evacuated = slices.Clone(v.Evacuated)
+	for _, d := range ended {
+		s.traffic.returned[d] = s.now
+	}
 	if len(ended) == 0 {
 		return
 	}
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -73,6 +73,8 @@
 		s.cancelDelegated(e)
 	case CreditAnswered:
 		s.receiveCredit(e)
+	case ColdCreditAnswered:
+		s.receiveColdCredit(e)
 	}
 }
 
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -74,6 +74,8 @@
 	prover *permitter.Prover
 	// credits holds and gives the credits of customers' quotas on a control host.
 	credits creditDesk
+	// cold holds and gives the credits of servers that are cold on a control host.
+	cold coldDesk
 }
 
 type hostLease struct {
@@ -100,6 +102,7 @@
 		serverList:   newServerList(window),
 		prover:       permitter.NewProver(),
 		credits:      newCreditDesk(),
+		cold:         newColdDesk(),
 	}
 }
 
@@ -192,6 +195,12 @@
 		s.handleAllotmentRequest(e)
 	case AllotmentsSent:
 		s.receiveAllotments(e)
+	case ColdCreditRequested:
+		s.giveColdCredit(e)
+	case ColdAllotmentsRequested:
+		s.handleColdReport(e)
+	case ColdAllotmentsSent:
+		s.receiveColdAllotments(e)
 	}
 }
 
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -119,7 +119,11 @@
 		return
 	}
 	at := s.now.Add(ServerRetryInterval)
-	if from := s.acceptedFrom(q, p.service); from > 0 {
+	from := s.acceptedFrom(q, p.service)
+	if from == 0 {
+		from = s.coldFrom(q, p.service)
+	}
+	if from > 0 {
 		if from >= s.acceptanceWaitEnd(q) {
 			p.acceptedFrom = from
 			s.count(UnavailablePiecesCounter, "", q.rank)
@@ -183,6 +187,8 @@
 	if !s.spendAttempt(q, p) {
 		return false
 	}
+	validUntil, licensed := s.takeColdCredit(q, backend)
+	s.require(licensed, ColdCreditInvariant, string(backend.Server))
 	s.require(q.credit != creditAwaited, CreditInvariant, q.Payload.ClientRequestID)
 	s.require(!s.isClosed(backend), AcceptanceInvariant, string(backend.Server))
 	s.require(s.withinHomes(q, backend.Domain), HomesInvariant, string(backend.Server))
@@ -212,7 +218,7 @@
 	s.emit(Exchange{
 		Attempt: id, Server: backend.Server, Address: backend.Address, Deadline: q.deadline,
 		Connections: s.connectionLimit(p.service, backend.Domain), Fresh: !q.route.Repeatable || q.probing,
-		Customer: q.customerID(), ValidUntil: s.validUntil(q.customerID()), Payload: q.Payload,
+		Customer: q.customerID(), ValidUntil: earlierEnd(s.validUntil(q.customerID()), validUntil), Payload: q.Payload,
 	})
 	return true
 }
@@ -289,6 +295,11 @@
 			!s.withinHomes(q, b.Domain) || !s.mayTake(b, q.rank) {
 			continue
 		}
+		cold := s.isCold(b)
+		if cold && !s.holdsColdCredit(b) {
+			s.requestColdCredit(q, b)
+			continue
+		}
 		detour, roundTrip := identifier.Micros(0), identifier.Micros(0)
 		if b.Domain != s.parameters.Domain {
 			detour, roundTrip = d.Detour, s.roundTrip(b.Domain)
@@ -296,13 +307,13 @@
 		candidates = append(candidates, chooser.Candidate{
 			Server:      b.Server,
 			Incarnation: b.Incarnation,
-			Starting:    b.State == leaser.Starting,
+			Starting:    b.State == leaser.Starting && !cold,
 			Rank:        q.rank,
 			Slots:       b.Slots,
 			Detour:      detour,
 			Rejection:   p.rejectionOf(b),
 			RoundTrip:   roundTrip,
-			Ramped:      s.isRamped(b),
+			Ramped:      cold || s.isRamped(b),
 		})
 	}
 	s.traffic.candidates = candidates
@@ -581,6 +592,7 @@
 			delete(s.traffic.serverActivities, id)
 		}
 	}
+	maps.DeleteFunc(s.traffic.coldCredits, func(id identifier.ServerID, _ *coldCredit) bool { return !known[id] })
 	routes := map[declarer.RouteID]bool{}
 	for i := range v.Declaration.Routes {
 		routes[v.Declaration.Routes[i].ID] = true
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -168,6 +168,8 @@
 		s.handleCreditTimer(t.request)
 	case reportDue:
 		s.handleReportTimer(t)
+	case coldReportDue:
+		s.handleColdReportTimer(t)
 	}
 }
 
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -60,6 +60,9 @@
 	creditDue struct{ request identifier.RequestID }
 	// reportDue reports to the owner of quotas. It is ignored if another timer has superseded it.
 	reportDue struct{ at identifier.Instant }
+	// coldReportDue reports to the owner of the limits of cold servers. It is ignored if another timer has
+	// superseded it.
+	coldReportDue struct{ at identifier.Instant }
 	// promptReportDue makes traffic report what it has borrowed before the next measurementDue.
 	promptReportDue struct{}
 	// rejectionRelayDue makes a control host relay the measurements of servers that reject.
@@ -93,6 +96,7 @@
 func (requestDue) isTimer()        {}
 func (creditDue) isTimer()         {}
 func (reportDue) isTimer()         {}
+func (coldReportDue) isTimer()     {}
 
 type scheduledTimer struct {
 	at       identifier.Instant
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -80,6 +80,10 @@
 	measurementScheduled bool
 	// evacuated are the evacuated failure domains of the view applied last.
 	evacuated []identifier.DomainID
+	// returned holds when the evacuation of each failure domain ended.
+	returned map[identifier.DomainID]identifier.Instant
+	// coldCredits holds this host's credit for each cold server that it would like to use.
+	coldCredits map[identifier.ServerID]*coldCredit
 }
 
 // service holds what a state has measured of one service, and the service's hedge and retry
@@ -116,6 +120,8 @@
 		loadStated:        map[identifier.ServerID]bool{},
 		deniedUntil:       map[identifier.CustomerID]identifier.Instant{},
 		unsentArrivals:    map[identifier.ServerID]arrivals{},
+		returned:          map[identifier.DomainID]identifier.Instant{},
+		coldCredits:       map[identifier.ServerID]*coldCredit{},
 	}
 }
 
