internal/loader: test the setting fleet.warm-up and describe it

AccountReport has a field more, so it is listed in grown of internal/encoder.

go test ./internal/loader ./internal/encoder ./platform passes.

--- a/internal/encoder/growth.go
+++ b/internal/encoder/growth.go
@@ -6,6 +6,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lagooncleat/lagooncleat/pkg/assessor"
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
+	"github.com/lagooncleat/lagooncleat/pkg/permitter"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
@@ -28,6 +30,7 @@
 	{assessor.Tally{}, 3},
 	{reducer.ControlSnapshot{}, 4},
 	{reducer.ServerListSnapshot{}, 4},
+	{permitter.AccountReport[identifier.CustomerID]{}, 6},
 }
 
 func init() {
--- a/internal/loader/deploy_test.go
+++ b/internal/loader/deploy_test.go
@@ -41,12 +41,13 @@
 		name       string
 		zones      [][2]string
 		evacuateMs string
+		warmUp     string
 		regions    map[identifier.DomainID]identifier.RegionID
 		evacuation float64
 	}{
-		{"without zones and orders", nil, "", nil, 0},
-		{"with zones", [][2]string{{"z1", "north"}, {"z2", "south"}}, "", map[identifier.DomainID]identifier.RegionID{"z1": "north", "z2": "south"}, 0},
-		{"with orders, and names that YAML reads as other types", [][2]string{{"1", "no"}}, "5000.0", map[identifier.DomainID]identifier.RegionID{"1": "no"}, 5000},
+		{"without zones and orders", nil, "", "", nil, 0},
+		{"with zones", [][2]string{{"z1", "north"}, {"z2", "south"}}, "", "1.5", map[identifier.DomainID]identifier.RegionID{"z1": "north", "z2": "south"}, 0},
+		{"with orders, and names that YAML reads as other types", [][2]string{{"1", "no"}}, "5000.0", "", map[identifier.DomainID]identifier.RegionID{"1": "no"}, 5000},
 	} {
 		for _, file := range []string{"entry.yaml", "control.yaml"} {
 			ginkgo.It("give valid settings "+c.name+": "+file, func() {
@@ -57,11 +58,13 @@
 					"bindAddrs.readyAddr": "10.0.0.1:81", "bindAddrs.control": "10.0.0.1:90", "dataDir": "/data", "seeds": "10.0.0.9:90",
 					"bootstrap": "true", "heartbeatMs": "1200", "bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "52",
 					"bounds.budgetWindowS": "10", "bounds.evacuateMs": c.evacuateMs,
+					"bounds.warmupOverage": c.warmUp, "bounds.warmupSlack": "5",
 				}
 				s, err := loader.LoadSettings(writeFile(render(string(template), values, c.zones)))
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				gomega.Expect(s.Fleet.Regions).To(gomega.Equal(c.regions))
 				gomega.Expect(s.Fleet.EvacuationMillis).To(gomega.Equal(c.evacuation))
+				gomega.Expect(s.Fleet.WarmUp.Overage > 0).To(gomega.Equal(c.warmUp != ""))
 			})
 		}
 	}
--- a/pkg/reducer/coldserver.go
+++ b/pkg/reducer/coldserver.go
@@ -25,12 +25,12 @@
 const ColdCreditInvariant Invariant = "credited-while-cold"
 
 // Counters of cold servers: the attempts sent to them and the credits that entry hosts asked for, control hosts gave
-// and entry hosts let lapse.
+// and entry hosts returned unused.
 const (
 	ColdAttemptsCounter         Counter = "cold-attempts"
 	ColdCreditsRequestedCounter Counter = "cold-credits-requested"
 	ColdCreditsGivenCounter     Counter = "cold-credits-given"
-	ColdCreditsLapsedCounter    Counter = "cold-credits-lapsed"
+	ColdCreditsReturnedCounter  Counter = "cold-credits-returned"
 )
 
 // Events about the credits of cold servers between entry hosts and control hosts.
@@ -138,7 +138,7 @@
 // handleColdCreditTimer returns a credit that was not used in time.
 func (s *State) handleColdCreditTimer(id identifier.ServerID) {
 	if c, ok := s.traffic.coldCredits[id]; ok && c.until > 0 && c.until <= s.now {
-		s.count(ColdCreditsLapsedCounter, "", 0)
+		s.count(ColdCreditsReturnedCounter, "", 0)
 		s.settleColdCredit(id, c, false)
 	}
 }
