pkg/reducer: name cold servers without a credit in the log of a failed request

The list of servers that were passed over left them out. The tests of pkg/permitter gain a new owner that waits, which failed with the wait taken out, and a loan that is settled twice.

go test ./pkg/permitter, and ./pkg/reducer -ginkgo.focus cold, pass.

--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -421,6 +421,39 @@
 		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
 	})
 
+	// What the previous owner allotted can be spent until then, in addition to the new one's level.
+	ginkgo.It("are not made by a new owner while earlier ones last, if new owners wait", func() {
+		for _, c := range []struct {
+			at   identifier.Micros
+			held permitter.Requests
+		}{
+			{permitter.Overlap + permitter.BriefTerm - 1, 0},
+			{permitter.Overlap + permitter.BriefTerm + identifier.Second, 1},
+		} {
+			o, h, _ := start(permitter.Limit{Rate: 10}, permitter.BriefTerms)
+			now := identifier.Instant(c.at)
+			h.Use(now, "a")
+			h.Wait("a", 1)
+			exchange(o, h, now)
+			gomega.Expect(h.Held(now, "a")).To(gomega.Equal(c.held))
+		}
+	})
+
+	ginkgo.It("that are lent can't be used by the lender, and come back if they were not sent", func() {
+		o, h, now := start(permitter.Limit{Rate: 10}, permitter.BriefTerms)
+		h.Use(now, "a")
+		h.Wait("a", 1)
+		exchange(o, h, now)
+		l, ok := h.Lend(now, "a")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(l.Until).To(gomega.Equal(now.Add(permitter.BriefTerm)))
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeFalse())
+		h.Settle(now, "a", l, false)
+		h.Settle(now, "a", l, false)
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeTrue())
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("of a lowered limit are granted by the new one", func() {
 		o, h, now := start(permitter.Limit{Rate: 100, Burst: 100}, permitter.QuotaTerms)
 		o.SetLimits(now, map[customer]permitter.Limit{"a": {Rate: 1, Burst: 1}})
--- a/pkg/reducer/coldserver.go
+++ b/pkg/reducer/coldserver.go
@@ -120,10 +120,9 @@
 	return c
 }
 
-// holdsColdCredit reports whether an attempt may be sent to a cold server now.
-func (s *State) holdsColdCredit(b *Backend) bool {
-	c := s.coldCreditOf(b)
-	return c.until > s.now
+// lacksColdCredit reports whether a server is cold and gets no attempt now, since there is no credit for it.
+func (s *State) lacksColdCredit(b *Backend) bool {
+	return s.isCold(b) && s.coldCreditOf(b).until <= s.now
 }
 
 // settleColdCredit gives up the credit at hand, and tells the control host that gave it whether it was used. One that
@@ -146,12 +145,12 @@
 // takeColdCredit takes the credit for an attempt if the server is cold. It returns when the credit ends, 0 if the
 // attempt needs none, and whether the attempt may be sent.
 func (s *State) takeColdCredit(q *request, b *Backend) (identifier.Instant, bool) {
+	if s.lacksColdCredit(b) {
+		return 0, false
+	}
 	if !s.isCold(b) {
 		return 0, true
 	}
-	if !s.holdsColdCredit(b) {
-		return 0, false
-	}
 	c := s.coldCreditOf(b)
 	until := c.until
 	s.settleColdCredit(b.Server, c, true)
@@ -213,7 +212,7 @@
 			return nil, false
 		}
 		b, ok := s.backend(p.service, id)
-		if !ok || !s.isCold(b) || s.holdsColdCredit(b) {
+		if !ok || !s.lacksColdCredit(b) {
 			return b, ok
 		}
 		s.requestColdCredit(q, b)
@@ -231,7 +230,7 @@
 		if s.acceptsAt(q, b) > s.now {
 			continue
 		}
-		if !s.isCold(b) || s.holdsColdCredit(b) {
+		if !s.lacksColdCredit(b) {
 			return 0
 		}
 		first = min(first, max(s.now.Add(ServerRetryInterval), s.coldCreditOf(b).deniedUntil))
--- a/pkg/reducer/statement.go
+++ b/pkg/reducer/statement.go
@@ -339,7 +339,7 @@
 		backends := s.traffic.view.Fleet.Backends[q.pieces[i].service]
 		for n := range backends {
 			b := &backends[n]
-			if s.acceptsAt(q, b) > s.now {
+			if s.acceptsAt(q, b) > s.now || s.lacksColdCredit(b) {
 				servers = append(servers, string(b.Server)+"="+s.refusalReason(q, b))
 			}
 		}
@@ -354,6 +354,8 @@
 		return "evacuated"
 	case !s.withinHomes(q, b.Domain):
 		return "outside-homes"
+	case s.lacksColdCredit(b):
+		return "cold"
 	}
 	return s.activity(b.Server).said.reason(s.now)
 }
