--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -59,6 +59,11 @@
 	reducer.CreditRequested{},
 	reducer.CreditReturned{},
 	reducer.CreditAnswered{},
+	reducer.ColdCreditRequested{},
+	reducer.ColdCreditAnswered{},
+	reducer.ColdCreditSettled{},
+	reducer.ColdAllotmentsRequested{},
+	reducer.ColdAllotmentsSent{},
 }
 
 var tags = indexTags()
--- a/internal/loader/fleet.go
+++ b/internal/loader/fleet.go
@@ -53,6 +53,27 @@
 	if f.EvacuationMillis < 0 {
 		d.addFault("fleet.evacuation-ms", "must not be negative")
 	}
+	d.checkWarmUp(f)
+}
+
+// From these bounds on, one request can be allotted at any rate: a fifth of the rate beyond it is kept for attempts that
+// are on their way.
+const (
+	minWarmUpOverage = 1.2
+	minWarmUpSlack   = 1
+)
+
+// checkWarmUp validates the limits of cold servers, if there are any.
+func (d *document) checkWarmUp(f *Fleet) {
+	if f.WarmUp.Overage == 0 && f.WarmUp.Slack == 0 {
+		return
+	}
+	if f.WarmUp.Overage < minWarmUpOverage {
+		d.addFault("fleet.warm-up.overage", fmt.Sprintf("must be at least %g", minWarmUpOverage))
+	}
+	if f.WarmUp.Slack < minWarmUpSlack {
+		d.addFault("fleet.warm-up.slack", fmt.Sprintf("must be at least %d", minWarmUpSlack))
+	}
 }
 
 // KnownRegions returns the regions of the settings, sorted and without duplicates; none if the settings don't
--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -9,18 +9,12 @@
 )
 
 const (
-	// coverTime is how much of its recent demand a holder wants to hold, so that requests need not wait for the
-	// owner, and most go on while another one is elected.
-	coverTime = Term
-	// idleTime is the time without requests of an account after which a holder returns what it holds. An account
-	// with one request in ten seconds at this host still finds one.
-	idleTime = 10 * identifier.Second
 	// reportDelay is how long a holder collects what it has spent before it reports it.
 	reportDelay = 100 * identifier.Millisecond
-	// renewInterval is the time between reports that renew what is held.
-	renewInterval = Term / 6
+	// renewalsPerTerm is how many reports in a term renew what is held.
+	renewalsPerTerm = 6
 	// surplusFactor is how many times its target a holder keeps. What is held is renewed, so without a return the
-	// allotments of a burst, or of a limit that was lowered since, would stay with the holder until idleTime.
+	// allotments of a burst, or of a limit that was lowered since, would stay with the holder until it is idle.
 	surplusFactor = 2
 	// answerTimeout is how long a holder waits for an answer before it reports again.
 	answerTimeout = 100 * identifier.Millisecond
@@ -28,6 +22,7 @@
 
 // Holder keeps the allotments of one host. It is not safe for concurrent use.
 type Holder[A cmp.Ordered] struct {
+	terms   Terms
 	session SessionID
 	valid   Permission
 	// earlier is the permission of what was held when the session last changed.
@@ -45,6 +40,8 @@
 // held is what the host holds of one account, and what it was asked for.
 type held struct {
 	granted, spent, undone, returned Requests
+	// lent counts those of the requests held that other hosts may send (Lend).
+	lent Requests
 	// earlier is what is left of the allotments of previous sessions. Their owner counts them as spent.
 	earlier Requests
 	// confirmed holds the counters that the owner knows, and sent those of the report made at sentAt.
@@ -52,7 +49,7 @@
 	sentAt          identifier.Instant
 	// waiting counts the requests that wait for an allotment.
 	waiting Requests
-	// demand is a count of requests that decays with coverTime, updated at usedAt.
+	// demand is a count of requests that decays with the term, updated at usedAt.
 	demand float64
 	usedAt identifier.Instant
 	// deniedUntil is when the owner has more to grant, and unknown is set while it knows no limit.
@@ -63,25 +60,26 @@
 type counters struct{ spent, undone, returned Requests }
 
 // NewHolder returns a Holder that holds nothing.
-func NewHolder[A cmp.Ordered]() *Holder[A] {
-	return &Holder[A]{shares: map[A]*held{}, answered: true}
+func NewHolder[A cmp.Ordered](t Terms) *Holder[A] {
+	return &Holder[A]{terms: t, shares: map[A]*held{}, answered: true}
 }
 
 func (x *held) unspent() Requests {
 	return x.granted - x.spent + x.undone - x.returned
 }
 
-// target returns how many requests the host wants to hold.
-func (x *held) target(now identifier.Instant) Requests {
-	if now.Since(x.usedAt) >= idleTime {
-		return x.waiting
+// target returns how many requests the host wants to hold: its recent demand within a term, so that requests need
+// not wait for the owner, and most go on while another one is elected.
+func (h *Holder[A]) target(now identifier.Instant, x *held) Requests {
+	if now.Since(x.usedAt) >= h.terms.Idle {
+		return x.waiting + x.lent
 	}
-	return x.waiting + max(1, Requests(math.Ceil(x.decayed(now)-0.5)))
+	return x.waiting + x.lent + max(1, Requests(math.Ceil(h.decayed(now, x)-0.5)))
 }
 
 // decayed returns the demand at an instant.
-func (x *held) decayed(now identifier.Instant) float64 {
-	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(coverTime))
+func (h *Holder[A]) decayed(now identifier.Instant, x *held) float64 {
+	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(h.terms.Term))
 }
 
 // Use records the demand of one request. It must be called once for each, before Take.
@@ -91,7 +89,7 @@
 		x = &held{}
 		h.shares[id] = x
 	}
-	x.demand = x.decayed(now) + 1
+	x.demand = h.decayed(now, x) + 1
 	x.usedAt = now
 }
 
@@ -106,7 +104,7 @@
 		x.earlier--
 		return true
 	}
-	if x.unspent() <= 0 {
+	if x.unspent() <= x.lent {
 		return false
 	}
 	x.spent++
@@ -114,6 +112,40 @@
 	return true
 }
 
+// Loan is a request that a host lends to another one, which may send it until Until, by the clock of the lender.
+type Loan struct {
+	Until   identifier.Instant
+	session SessionID
+}
+
+// Lend sets a request of an account aside for another host. It counts as held until Settle is called, so that the
+// level of the account doesn't rise meanwhile and it may be used again if it was not sent. It returns false if nothing
+// is held.
+func (h *Holder[A]) Lend(now identifier.Instant, id A) (Loan, bool) {
+	h.endLapsed(now)
+	x, ok := h.shares[id]
+	if !ok || x.unspent() <= x.lent {
+		return Loan{}, false
+	}
+	x.lent++
+	return Loan{Until: h.valid.Until(), session: h.session}, true
+}
+
+// Settle ends a loan, once, and records whether the request was sent. One that may have been sent counts as sent.
+// The owner has counted the loans of earlier sessions as spent.
+func (h *Holder[A]) Settle(now identifier.Instant, id A, l Loan, sent bool) {
+	h.endLapsed(now)
+	x, ok := h.shares[id]
+	if !ok || l.session != h.session || x.lent == 0 {
+		return
+	}
+	x.lent--
+	if sent {
+		x.spent++
+	}
+	h.noteChange(now)
+}
+
 // Undo gives back a request that was taken and did not run. It may have been taken in an earlier session and
 // count in the current one, which lowers what the current one has spent by no more than was spent before.
 func (h *Holder[A]) Undo(now identifier.Instant, id A) {
@@ -187,7 +219,7 @@
 	h.endLapsed(now)
 	if h.session != (SessionID{}) {
 		for _, x := range h.shares {
-			x.earlier += max(0, x.unspent())
+			x.earlier += max(0, x.unspent()-x.lent)
 		}
 		if h.earlier == (Permission{}) || h.valid.Until() < h.earlier.Until() {
 			h.earlier = h.valid
@@ -199,7 +231,7 @@
 func (h *Holder[A]) beginSession(id SessionID) {
 	h.session, h.valid = id, Permission{}
 	for _, x := range h.shares {
-		x.granted, x.spent, x.undone, x.returned = 0, 0, 0, 0
+		x.granted, x.spent, x.undone, x.returned, x.lent = 0, 0, 0, 0, 0
 		x.confirmed, x.sent = counters{}, counters{}
 	}
 }
@@ -216,11 +248,11 @@
 			next = min(next, now)
 		case x.waiting > 0:
 			next = min(next, x.deniedUntil)
-		case x.unspent() < x.target(now):
+		case x.unspent() < h.target(now, x):
 			next = min(next, max(x.deniedUntil, h.reportedAt.Add(reportDelay)))
 		}
 		if x.unspent() > 0 {
-			next = min(next, h.reportedAt.Add(renewInterval))
+			next = min(next, h.reportedAt.Add(h.terms.Term/renewalsPerTerm))
 		}
 	}
 	if !h.answered {
@@ -236,11 +268,14 @@
 	h.reportedAt, h.reported, h.answered, h.changed = now, h.session, false, false
 	r := Report[A]{Session: h.session, Asked: asked}
 	for id, x := range h.shares {
-		target := x.target(now)
+		target := h.target(now, x)
 		x.returned += max(0, x.unspent()-surplusFactor*target)
 		known := counters{x.spent, x.undone, x.returned}
 		if target == 0 && known == x.confirmed {
-			delete(h.shares, id)
+			// The owner keeps the counters of the session, so they must not begin anew within it.
+			if known == (counters{}) && x.granted == 0 {
+				delete(h.shares, id)
+			}
 			continue
 		}
 		if known == x.confirmed && (x.unspent() >= target || (x.waiting == 0 && x.deniedUntil > now)) {
@@ -248,7 +283,7 @@
 		}
 		x.sent, x.sentAt = known, now
 		r.Accounts = append(r.Accounts, AccountReport[A]{
-			Account: id, Spent: x.spent, Undone: x.undone, Returned: x.returned, Target: target, Waiting: x.waiting,
+			Account: id, Spent: x.spent, Undone: x.undone, Returned: x.returned, Target: target, Waiting: x.waiting, Lent: x.lent,
 		})
 	}
 	slices.SortFunc(r.Accounts, func(a, b AccountReport[A]) int { return cmp.Compare(a.Account, b.Account) })
@@ -257,7 +292,7 @@
 
 // Receive records the owner's answer to a report of this process.
 func (h *Holder[A]) Receive(now identifier.Instant, a Answer[A]) {
-	if a.Session == (SessionID{}) || a.Asked.At > now || a.Asked.At.Add(Term) <= now {
+	if a.Session == (SessionID{}) || a.Asked.At > now || a.Asked.At.Add(h.terms.Term) <= now {
 		return
 	}
 	if a.Session != h.session {
@@ -267,7 +302,7 @@
 		}
 		h.changeSession(now, a.Session)
 	}
-	h.valid.Renew(a.Asked.At, Term)
+	h.valid.Renew(a.Asked.At, h.terms.Term)
 	h.answered = h.answered || a.Asked.At == h.reportedAt
 	for _, x := range a.Accounts {
 		known, ok := h.shares[x.Account]
--- a/pkg/permitter/permitter_bench_test.go
+++ b/pkg/permitter/permitter_bench_test.go
@@ -36,7 +36,7 @@
 	var proof permitter.Permission
 	proof.Renew(identifier.Instant(identifier.Minute), identifier.Second)
 	now := identifier.Instant(identifier.Minute)
-	holder := permitter.NewHolder[customer]()
+	holder := permitter.NewHolder[customer](permitter.QuotaTerms)
 	for i := range customers {
 		holder.Use(now, customers[i].ID)
 	}
@@ -144,7 +144,7 @@
 	)
 	random := rand.New(rand.NewPCG(1, 1))
 	now := identifier.Instant(identifier.Minute)
-	owner := permitter.NewAllotter[customer](now, "owner", tolerance)
+	owner := permitter.NewAllotter[customer](now, "owner", tolerance, permitter.QuotaTerms)
 	limits := map[customer]permitter.Limit{}
 	for i := range customers {
 		limits[customer(fmt.Sprintf("c-%d", i))] = limit
@@ -153,7 +153,7 @@
 	ids := owner.Accounts()
 	holders := make([]*permitter.Holder[customer], hosts)
 	for i := range holders {
-		holders[i] = permitter.NewHolder[customer]()
+		holders[i] = permitter.NewHolder[customer](permitter.QuotaTerms)
 	}
 	type waiting struct {
 		host int
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -75,6 +75,8 @@
 		s.receiveCredit(e)
 	case RouteAsked:
 		s.explainRoute(e)
+	case ColdCreditAnswered:
+		s.receiveColdCredit(e)
 	}
 }
 
