--- a/cmd/lagooncleat/keyed_test.go
+++ b/cmd/lagooncleat/keyed_test.go
@@ -18,12 +18,6 @@
 	"github.com/lagooncleat/lagooncleat/platform/imitator"
 )
 
-// keyedCustomers are customers in the format of the platform. "free" has no quota; "metered" and "idle" may send a
-// request in ten seconds.
-const keyedCustomers = `"tenants":[{"name":"free","apiKeys":["secret-free"]},
-	{"name":"metered","apiKeys":["secret-metered"],"ratePerS":0.1,"burst":1},
-	{"name":"idle","apiKeys":["secret-idle"],"ratePerS":0.1,"burst":1}]`
-
 var _ = ginkgo.Describe("requests with keys", func() {
 	const revocation = 5 * time.Second
 	ginkgo.It("are explained and measured where they are refused", func() {
@@ -38,7 +32,7 @@
 			if err != nil {
 				return 0, err
 			}
-			text = strings.Replace(strings.Replace(text, `"version":1,`, `"version":2,`, 1), `"routes":`, keyedCustomers+`,"routes":`, 1)
+			text = strings.Replace(strings.Replace(text, `"version":1,`, `"version":2,`, 1), `"routes":`, imitator.KeyedCustomers+`,"routes":`, 1)
 			request, err := http.NewRequest(http.MethodPut, address, strings.NewReader(text))
 			if err != nil {
 				return 0, err
