--- a/pkg/reducer/explanation.go
+++ b/pkg/reducer/explanation.go
@@ -51,7 +51,8 @@
 	Homes [][]identifier.RegionID
 	Proof ProofExplanation
 	Quota QuotaExplanation
-	// ControlHost is the control host that this host subscribes to.
+	// ControlHost is the control host that this host subscribes to, which tells it what all hosts together know of
+	// servers; empty while it searches for one.
 	ControlHost identifier.HostID
 	Evacuated   []identifier.DomainID
 	Services    []ServiceExplanation
