pkg/permitter: round the wait for the next request up

If less than a microsecond was missing until a request could be granted, the answer's RetryAfter was 0, which is no denial. A holder with a waiting request reported again at once, and where holder and owner are one host, without end at the same instant.

--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -305,7 +305,8 @@
 	if a.limit.Rate <= 0 {
 		return Term
 	}
-	wait := identifier.Micros(missing / a.limit.perSecond() * float64(identifier.Second))
+	// Rounded down to 0, a wait would count as no denial, and the holder would report again at once.
+	wait := identifier.Micros(math.Ceil(missing / a.limit.perSecond() * float64(identifier.Second)))
 	return wait + max(0, a.filledAt.Since(now))
 }
 
