--- a/pkg/permitter/allotter.go
+++ b/pkg/permitter/allotter.go
@@ -314,7 +314,8 @@
 	if a.limit.Rate <= 0 {
 		return term
 	}
-	wait := identifier.Micros(missing / a.limit.perSecond() * float64(identifier.Second))
+	// Rounded down to 0, a wait would count as no denial, and the holder would report again at once.
+	wait := identifier.Micros(math.Ceil(missing / a.limit.perSecond() * float64(identifier.Second)))
 	return wait + max(0, a.filledAt.Since(now))
 }
 
