internal/messenger: keep the time to encode events out of the write timeout

writeBatch set the write deadline before it encoded the events. Encoding 65 MiB under the race detector used up the 2 s, and the flush of the next event failed and ended the connection. The deadline of a batch now moves by the time that encoding took; the time to write is limited as before.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -56,7 +56,7 @@
 	dialTimeout = 300 * time.Millisecond
 	// redialDelay is the pause between a failed dial and the next.
 	redialDelay = 100 * time.Millisecond
-	// writeTimeout limits the time to write a batch of frames.
+	// writeTimeout limits the time to write a batch of frames, without the time to encode them.
 	writeTimeout = 2 * time.Second
 	// unconfiguredPeerTimeout is how long an unreachable peer that is not in the settings is
 	// kept before it is removed.
@@ -74,6 +74,8 @@
 // Messenger sends events to peers and delivers the events received from them.
 type Messenger struct {
 	deliver func(reducer.Event)
+	// encode is encoder.Encode, unless a test replaces it.
+	encode  func(reducer.Event) ([]byte, error)
 	logger  hclog.Logger
 	host    identifier.HostID
 	peers   map[identifier.HostID]identifier.Address
@@ -92,6 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Messenger{
 		deliver:     deliver,
+		encode:      encoder.Encode,
 		logger:      logger,
 		host:        p.Host,
 		peers:       p.Peers,
@@ -285,30 +288,38 @@
 	}
 }
 
-// writeBatch writes an event and all events queued after it, then flushes.
+// writeBatch writes an event and all events queued after it, then flushes. The write timeout doesn't include
+// the time to encode the events, since that of a large event can exceed it.
 func (m *Messenger) writeBatch(c net.Conn, w *bufio.Writer, first reducer.Event, queue chan reducer.Event) error {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := m.writeEvent(c, w, first); err != nil {
-		return err
-	}
-	for {
-		select {
-		case event := <-queue:
-			if err := m.writeEvent(c, w, event); err != nil {
+	deadline := time.Now().Add(writeTimeout)
+	for event := first; ; {
+		began := time.Now()
+		data := m.encodeEvent(event)
+		deadline = deadline.Add(time.Since(began))
+		if err := c.SetWriteDeadline(deadline); err != nil {
+			return err
+		}
+		if len(data) > maxFrameSize {
+			if err := writeParts(c, w, data); err != nil {
 				return err
 			}
+			deadline = time.Now().Add(writeTimeout)
+		} else if len(data) > 0 {
+			if err := writeFrame(w, data); err != nil {
+				return err
+			}
+		}
+		select {
+		case event = <-queue:
 		default:
 			return w.Flush()
 		}
 	}
 }
 
-// writeEvent writes an event, in parts if it exceeds the maximum frame. Each part gets the whole
-// write timeout.
-func (m *Messenger) writeEvent(c net.Conn, w io.Writer, event reducer.Event) error {
-	data, err := encoder.Encode(event)
+// encodeEvent returns the encoding of an event, or nil if the event must be dropped.
+func (m *Messenger) encodeEvent(event reducer.Event) []byte {
+	data, err := m.encode(event)
 	if err != nil {
 		m.logger.Error("failed to encode event; event dropped", "error", err)
 		return nil
@@ -317,9 +328,12 @@
 		m.logger.Error("event exceeds the size limit; event dropped", "bytes", len(data), "limit", maxEventSize)
 		return nil
 	}
-	if len(data) <= maxFrameSize {
-		return writeFrame(w, data)
-	}
+	return data
+}
+
+// writeParts writes an event that exceeds the maximum frame. Each part gets the whole write timeout, and so
+// does what the caller writes next.
+func writeParts(c net.Conn, w io.Writer, data []byte) error {
 	for len(data) > partSize {
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return err
@@ -329,6 +343,9 @@
 		}
 		data = data[partSize:]
 	}
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	return writeFrame(w, data)
 }
 
