internal/screener: write the refusal of a request that is ended as it arrives in full

A request could be chosen to make room between its arrival in full and the step to running. It did not run then, but its connection could be closed without the 503: the flag that allows a refusal was cleared before that step, and net/http closed the connection while another goroutine had yet to write the refusal.

The flag is now cleared under the lock of that step. The goroutine that finds its request ended sees to the refusal, and Close waits for one that is being written.

--- a/internal/screener/connection.go
+++ b/internal/screener/connection.go
@@ -49,6 +49,8 @@
 	ended    atomic.Bool
 	// refusable is set while the connection's request can't have run, so that a refusal is true.
 	refusable atomic.Bool
+	// refusal is held while the refusal of an ended connection is written.
+	refusal sync.Mutex
 
 	// mutex guards the fields below: net/http reads from the connection on another goroutine while the
 	// request runs.
@@ -161,7 +163,6 @@
 // endHead ends the head of a request that net/http has read. It counts the lines that arrived together with
 // the previous request.
 func (c *connection) endHead(r *http.Request) {
-	c.refusable.Store(false)
 	lines := 0
 	for _, values := range r.Header {
 		lines += len(values)
@@ -186,27 +187,31 @@
 
 // run notes that the request has arrived in full, and returns false if it was ended and must not run.
 func (c *connection) run() bool {
-	c.refusable.Store(false)
 	c.screener.mutex.Lock()
 	defer c.screener.mutex.Unlock()
-	return c.screener.reserver.Run(c.id)
+	runs := c.screener.reserver.Run(c.id)
+	if runs {
+		c.refusable.Store(false)
+	}
+	return runs
 }
 
-// end closes the connection to make room. An unfinished request is refused as not run.
-func (c *connection) end(unfinished bool) {
-	if !c.ended.Swap(true) && unfinished && c.refusable.Load() {
-		c.writeRefusal(http.StatusServiceUnavailable)
+// end closes the connection. A request that has not run is refused.
+func (c *connection) end(refused bool) {
+	status := 0
+	if refused {
+		status = http.StatusServiceUnavailable
 	}
+	c.setEnded(status)
 	c.Conn.Close()
 }
 
 // refuse answers a request whose head breaks a limit, and reads on for a moment so that the client gets the
 // answer. The head is held, and counted, until then.
 func (c *connection) refuse(status int) {
-	if c.ended.Swap(true) {
+	if !c.setEnded(status) {
 		return
 	}
-	c.writeRefusal(status)
 	// The connection is closed in any case.
 	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
@@ -214,6 +219,20 @@
 	c.Close()
 }
 
+// setEnded ends the connection's request, and refuses it with the status unless that is 0. It returns false if the
+// request was ended before; the refusal is written then.
+func (c *connection) setEnded(status int) bool {
+	c.refusal.Lock()
+	defer c.refusal.Unlock()
+	if c.ended.Swap(true) {
+		return false
+	}
+	if status != 0 {
+		c.writeRefusal(status)
+	}
+	return true
+}
+
 func (c *connection) writeRefusal(status int) {
 	retry := ""
 	if status == http.StatusServiceUnavailable {
@@ -241,8 +260,10 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection and releases what it held.
+// Close closes the connection and releases what it held. A refusal that is being written is completed first.
 func (c *connection) Close() error {
+	c.refusal.Lock()
+	defer c.refusal.Unlock()
 	s := c.screener
 	s.mutex.Lock()
 	s.reserver.Close(c.id)
@@ -278,8 +299,10 @@
 	if err == nil {
 		return n, nil
 	}
-	c.refusable.Store(false)
-	if errors.Is(err, io.EOF) && !c.run() {
+	if !errors.Is(err, io.EOF) {
+		c.refusable.Store(false)
+	} else if !c.run() {
+		c.end(true)
 		return 0, errEnded
 	}
 	return n, err
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -116,9 +116,15 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		c.endHead(r)
 		hasBody := r.Body != nil && r.Body != http.NoBody
+		// A handler may answer before it has read the body.
+		if hasBody {
+			c.refusable.Store(false)
+		}
+		c.endHead(r)
 		if c.ended.Load() || !hasBody && !c.run() {
+			// The goroutine that chose this connection may not have written the refusal yet.
+			c.end(c.refusable.Load())
 			panic(http.ErrAbortHandler)
 		}
 		if hasBody {
@@ -144,7 +150,8 @@
 // ending is a connection that must be closed.
 type ending struct {
 	connection *connection
-	unfinished bool
+	// refused is set if the connection's request has not run, and can't run any more.
+	refused bool
 }
 
 // take removes connections that must be closed. The caller holds the mutex and calls end after it has
@@ -152,7 +159,8 @@
 func (s *Screener) take(ended []reserver.Ended) []ending {
 	endings := make([]ending, 0, len(ended))
 	for _, e := range ended {
-		endings = append(endings, ending{s.connections[e.Connection], e.Unfinished})
+		c := s.connections[e.Connection]
+		endings = append(endings, ending{c, e.Unfinished && c.refusable.Load()})
 		delete(s.connections, e.Connection)
 		s.ended++
 	}
@@ -161,7 +169,7 @@
 
 func end(endings []ending) {
 	for _, e := range endings {
-		e.connection.end(e.unfinished)
+		e.connection.end(e.refused)
 	}
 }
 
