internal/screener, pkg/reserver: refuse all requests that have not arrived in full

A host that stops needs to refuse, as not run, the requests that are still unread at the end of its shutdown timeout. Refuse and Run are called under one lock, so a request is either refused or runs.

--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -76,6 +76,27 @@
 	return &screened{l, s}
 }
 
+// RefuseUnread refuses the requests that have begun to arrive and have not arrived in full.
+func (s *Screener) RefuseUnread() {
+	s.mutex.Lock()
+	var refused []ending
+	for id, c := range s.connections {
+		// A handler that has not read the body may be writing an answer.
+		if !c.refusable.Load() {
+			continue
+		}
+		if e, ok := s.reserver.Refuse(id); ok {
+			for _, taken := range s.take([]reserver.Ended{e}) {
+				// A handler may have begun since, but can't run the request.
+				taken.refused = true
+				refused = append(refused, taken)
+			}
+		}
+	}
+	s.mutex.Unlock()
+	end(refused)
+}
+
 // screened is a listener whose connections are limited.
 type screened struct {
 	net.Listener
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -207,6 +207,15 @@
 	return ended
 }
 
+// Refuse ends the request of a connection if it is unfinished, and reports whether it did.
+func (r *Reserver) Refuse(id ConnectionID) (Ended, bool) {
+	c := r.connections[id]
+	if c == nil || c.phase != unfinished {
+		return Ended{}, false
+	}
+	return r.end(c), true
+}
+
 // Run notes that the request of a connection has arrived in full. It returns false if the request was ended
 // and must not run.
 func (r *Reserver) Run(id ConnectionID) bool {
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -39,7 +39,9 @@
 func answer(id int, units identifier.Bytes, ended ...int) step {
 	return step{"answer", id, "", units, ended}
 }
-func finish(id int) step { return step{"finish", id, "", 0, nil} }
+
+func refuse(id int, ended ...int) step { return step{"refuse", id, "", 0, ended} }
+func finish(id int) step               { return step{"finish", id, "", 0, nil} }
 
 func (s step) apply(r *reserver.Reserver) []reserver.Ended {
 	id := reserver.ConnectionID(s.id)
@@ -50,6 +52,10 @@
 		return r.Reserve(id, s.units*unit)
 	case "answer":
 		return r.Answer(id, s.units*unit)
+	case "refuse":
+		if e, ok := r.Refuse(id); ok {
+			return []reserver.Ended{e}
+		}
 	case "run":
 		r.Run(id)
 	case "finish":
@@ -87,6 +93,10 @@
 			open(1, "a"), open(2, "a"), open(3, "a"), run(1), answer(1, 4), hold(2, 1), run(3), answer(3, 3, -2, 1),
 		}},
 		{"ends no answer for its own size", []step{open(1, "a"), hold(1, 6), run(1), answer(1, 3), answer(1, 3)}},
+		{"refuses an unfinished request once", []step{open(1, "a"), hold(1, 1), refuse(1, -1), refuse(1)}},
+		{"refuses no running request, idle connection or answer", []step{
+			open(1, "a"), open(2, "a"), open(3, "a"), hold(1, 1), run(1), run(2), answer(2, 1), refuse(1), refuse(2), refuse(3),
+		}},
 		{"counts an answered request's connection as newly idle", []step{open(1, "a"), open(2, "a"), open(3, "a"), run(1), finish(1), open(4, "a", 2)}},
 	} {
 		ginkgo.It(c.name, func() {
