internal/stopper: answer requests that have begun to arrive when a host stops

http.Server.Shutdown closes a connection whose next request has begun to arrive, and drops a request whose head is read after it began.

Now only the goroutine that reads from a connection ends it: a stopping server gives reads for the first bytes of a request a deadline, and they return io.EOF if nothing of one has arrived. The stop has ended when all connections are closed. After the last answer a connection is read on until its client closes it. Requests that are unread shortly before the timeout are refused with 503.

--- a/internal/ranger/ranger.go
+++ b/internal/ranger/ranger.go
@@ -49,7 +49,11 @@
 
 // roundTrip returns the round trip that the kernel has measured on a connection, or 0 if it has none.
 func roundTrip(c net.Conn) identifier.Micros {
-	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = wrapper.NetConn()
 	}
 	socket, ok := c.(syscall.Conn)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -38,6 +38,7 @@
 	"github.com/lagooncleat/lagooncleat/internal/meter"
 	"github.com/lagooncleat/lagooncleat/internal/ranger"
 	"github.com/lagooncleat/lagooncleat/internal/screener"
+	"github.com/lagooncleat/lagooncleat/internal/stopper"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/router"
@@ -56,7 +57,7 @@
 	messenger *messenger.Messenger
 	caller    *caller.Caller
 	exchanger *exchanger.Exchanger
-	servers   map[ListenerIndex]*http.Server
+	servers   map[ListenerIndex]*stopper.Server
 	screeners [listenerCount]*screener.Screener
 	listeners Listeners
 	journal   *journaler.Journaler
@@ -149,7 +150,7 @@
 	limitMemory(s)
 	r := &Runner{
 		settings: s, listeners: listeners, logger: loggers.Logger(runnerSubsystem),
-		servers: map[ListenerIndex]*http.Server{},
+		servers: map[ListenerIndex]*stopper.Server{},
 	}
 	for l := range listenerCount {
 		r.screeners[l] = r.newScreener(l)
@@ -198,18 +199,18 @@
 
 func (r *Runner) serve(h http.Handler, l ListenerIndex) {
 	server := newServer(h)
-	limited := r.screeners[l].Limit(server, r.listeners[l])
+	server.Limit, server.RefuseUnread = r.screeners[l].Limit, r.screeners[l].RefuseUnread
 	r.servers[l] = server
 	r.group.Go(func() {
-		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(r.listeners[l]); !errors.Is(err, http.ErrServerClosed) {
 			r.logger.Error("listener failed", "error", err)
 		}
 	})
 }
 
 // newServer returns an HTTP server that knows the distance to its clients.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext}
+func newServer(h http.Handler) *stopper.Server {
+	return stopper.New(&http.Server{Handler: h, ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext})
 }
 
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
