internal/stopper: test that later read deadlines undo no wake-up

net/http and the screener set read deadlines of their own, which could keep a connection open until the timeout.

--- a/internal/stopper/stopper_test.go
+++ b/internal/stopper/stopper_test.go
@@ -159,4 +159,37 @@
 			gomega.Expect(server.Close()).To(gomega.Succeed())
 		})
 	}
+
+	// Guards against a connection that stays open until the timeout, since another deadline undid the wake-up.
+	ginkgo.It("closes a connection whose read deadline is removed after the reader was woken", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		accepted := make(capture, 1)
+		server := stopper.New(&http.Server{ConnContext: accepted.add})
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(l) }()
+		client, err := net.Dial("tcp", l.Addr().String())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer client.Close()
+		var c net.Conn
+		gomega.Eventually(accepted, waitLimit).Should(gomega.Receive(&c))
+		time.Sleep(settleTime)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Shutdown(ctx) }()
+		gomega.Eventually(served, waitLimit).Should(gomega.Receive(gomega.MatchError(http.ErrServerClosed)))
+		// The reader has the deadline of a new connection now.
+		time.Sleep(settleTime)
+		gomega.Expect(c.SetReadDeadline(time.Time{})).To(gomega.Succeed())
+		gomega.Eventually(stopped, 2*waitLimit).Should(gomega.Receive(gomega.BeNil()))
+	})
 })
+
+// capture receives the connections that a server accepts.
+type capture chan net.Conn
+
+func (a capture) add(ctx context.Context, c net.Conn) context.Context {
+	a <- c
+	return ctx
+}
