--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -73,7 +73,7 @@
 	proof  permitter.Permission
 	prover *permitter.Prover
 	// credits holds and gives the credits of customers' quotas on a control host.
-	credits creditDesk
+	credits quotaState
 	// cold holds and gives the credits of servers that are cold on a control host.
 	cold coldDesk
 }
@@ -101,7 +101,7 @@
 		clockOffsets: map[identifier.HostID]clockOffset{},
 		serverList:   newServerList(window),
 		prover:       permitter.NewProver(),
-		credits:      newCreditDesk(),
+		credits:      newQuotaState(),
 		cold:         newColdDesk(),
 	}
 }
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -201,8 +201,8 @@
 	creditTaken
 )
 
-// creditDesk is the part of a control host that holds allotments and gives credits to entry hosts.
-type creditDesk struct {
+// quotaState is the part of a control host that holds allotments and gives credits to entry hosts.
+type quotaState struct {
 	holder *permitter.Holder[identifier.CustomerID]
 	// waiting holds the requests for credits that can't be answered yet, in order of arrival.
 	waiting map[identifier.CustomerID][]waitingCredit
@@ -219,8 +219,8 @@
 	until   identifier.Instant
 }
 
-func newCreditDesk() creditDesk {
-	return creditDesk{
+func newQuotaState() quotaState {
+	return quotaState{
 		holder: permitter.NewHolder[identifier.CustomerID](permitter.QuotaTerms), waiting: map[identifier.CustomerID][]waitingCredit{}, reportAt: identifier.Never,
 	}
 }
