internal/stopper: keep connections open after answers to bodies over the limit

The stopper's wrapped writer hides net/http's own from http.MaxBytesReader, and the screener replaces the request's body, so net/http neither learned of the limit nor of the unread body and closed the connection at once. The close with unread bytes is a reset; a client that is still writing fails before it reads the answer.

stopper.MaxBytesReader passes the limit on to net/http's own writer, which half-closes the connection and waits for 500 ms. The writer's case for 413 is no longer needed.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -17,6 +17,7 @@
 	"io"
 	"net/http"
 
+	"github.com/lagooncleat/lagooncleat/internal/stopper"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
@@ -44,7 +45,7 @@
 // readJSON decodes a request body. It rejects unknown fields, data after the JSON
 // value, and bodies larger than MaxBodySize.
 func readJSON(w http.ResponseWriter, r *http.Request, target any) *reducer.Failed {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(MaxBodySize)))
+	decoder := json.NewDecoder(stopper.MaxBytesReader(w, r.Body, int64(MaxBodySize)))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(target)
 	if err == nil {
--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -193,6 +194,19 @@
 	return c, nil
 }
 
+// MaxBytesReader limits a request's body as http.MaxBytesReader does. It passes on net/http's own writer, which then
+// keeps a connection with an unread body open for a moment: a close with unread bytes is a reset, which can destroy the
+// answer.
+func MaxBytesReader(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
+	for {
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return http.MaxBytesReader(w, body, limit)
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // closeAfterAnswers returns a handler whose answers end their connection once the server stops.
 func (s *Server) closeAfterAnswers(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -218,8 +232,7 @@
 func (w *writer) WriteHeader(status int) {
 	if !w.begun && status >= http.StatusOK {
 		w.begun = true
-		// http.MaxBytesReader can't tell net/http through this writer to end the connection.
-		if w.server.stopping.Load() || status == http.StatusRequestEntityTooLarge {
+		if w.server.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
 	}
