pkg/reducer: keep control hosts from being overloaded by requests for whole lists

A host that switched took two lists, the second one for the verdicts on degraded servers. Each answer also built the list of entry hosts anew. Ruled out: the time to encode one list (0.23 ms).

- One list in flight to each poller: while it can still arrive, requests get a brief answer.
A closed connection ends the wait.
- A host that switches adopts the verdicts from the list that it switched with.
- Pollers that ask within 40 ms share one copy of the list.
- The roster of entry hosts is kept until it changes.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -6,7 +6,6 @@
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/merger"
-	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
 const (
@@ -584,46 +583,6 @@
 	}
 }
 
-// delegatesFor returns the entry hosts of remote failure domains that gather parts for a
-// subscriber. Rendezvous hashing spreads the subscribers over them.
-func delegatesFor(id identifier.HostID, to *poller, entryHosts []router.Host) []router.Host {
-	if !to.subscribed {
-		return nil
-	}
-	return router.RemoteHosts(id, to.domain, entryHosts, DelegatesPerDomain)
-}
-
-// allEntryHosts returns the entry hosts of the deployment that this host knows of. Until this host
-// is synchronized, they include the hosts in the restored snapshot.
-func (s *State) allEntryHosts() []router.Host {
-	hosts := s.subscriberHosts()
-	for _, id := range sortedKeys(s.control.serverList.peerSubscribers) {
-		if s.isLive(id) {
-			hosts = append(hosts, s.control.serverList.peerSubscribers[id]...)
-		}
-	}
-	if s.control.synchronized {
-		return hosts
-	}
-	for _, h := range s.control.serverList.restoredEntryHosts {
-		if !slices.ContainsFunc(hosts, func(known router.Host) bool { return known.ID == h.ID }) {
-			hosts = append(hosts, h)
-		}
-	}
-	return hosts
-}
-
-// subscriberHosts returns the entry hosts that subscribe to this control host, in order of ID.
-func (s *State) subscriberHosts() []router.Host {
-	var hosts []router.Host
-	for _, id := range sortedKeys(s.control.serverList.pollers) {
-		if p := s.control.serverList.pollers[id]; p.subscribed && s.now.Since(p.lastSeen) < PollTimeout {
-			hosts = append(hosts, router.Host{ID: id, Domain: p.domain})
-		}
-	}
-	return hosts
-}
-
 // sendSubscribers sends the list of this host's subscribers to the other control hosts when it
 // has changed, and again at intervals, since a message may be lost.
 func (s *State) sendSubscribers() {
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -106,6 +106,7 @@
 		s.control.crashSyncPending[e.Host] = true
 		s.dropAttemptsFrom(func(submitter identifier.HostID) bool { return submitter == e.Host })
 		s.handleDisconnectedHost(e.Host)
+		s.control.serverList.forgetSentList(e.Host)
 	case FingerprintSuspected:
 		s.receiveSuspicion(e)
 	case FingerprintCrashed:
--- a/pkg/reducer/rejection.go
+++ b/pkg/reducer/rejection.go
@@ -176,6 +176,6 @@
 // answerPrompt tells a subscriber what is lent to it now.
 func (s *State) answerPrompt(id identifier.HostID) {
 	if p, ok := s.control.serverList.pollers[id]; ok && p.subscribed {
-		s.sendServerList(id, p, s.allEntryHosts())
+		s.sendServerList(id, p)
 	}
 }
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -232,6 +232,11 @@
 	// subscribed is set for an entry host that subscribes to this control host; other hosts
 	// only poll.
 	subscribed bool
+	// wholeSent is when the whole list was last sent, unless it may have been lost since.
+	wholeSent identifier.Instant
+	// delegates are the host's delegates among the hosts of the roster's generation delegatesFrom.
+	delegates     []router.Host
+	delegatesFrom uint64
 }
 
 // serverList is the part of control that keeps the server list, or a copy of it on entry hosts.
@@ -242,13 +247,16 @@
 	addresses map[identifier.Address][]identifier.ServerID
 	contested map[identifier.Address]bool
 	revision  ServerListRevision
-	pollers   map[identifier.HostID]*poller
+	// whole and recent hold what wholeList and changesSince last returned.
+	whole, recent serverChanges
+	pollers       map[identifier.HostID]*poller
 	// notifiedAt is when the subscribers were last notified of changes; notificationDue is set while a
 	// notification is scheduled.
 	notifiedAt      identifier.Instant
 	notificationDue bool
 	// peerSubscribers are the subscribers of the other control hosts.
 	peerSubscribers map[identifier.HostID][]router.Host
+	roster          roster
 	// sentSubscribers is the list of subscribers last sent to the other control hosts, and
 	// sentSubscribersAt is when.
 	sentSubscribers   []router.Host
@@ -367,8 +375,36 @@
 	return true
 }
 
-// changesSince returns the servers that have changed after the revision, in order of revision.
-func (sl *serverList) changesSince(revision ServerListRevision) []ListedServer {
+// serverChanges are the servers that have changed after one revision, up to another.
+type serverChanges struct {
+	after, until ServerListRevision
+	servers      []ListedServer
+	// at is when they were collected.
+	at identifier.Instant
+}
+
+// wholeList returns the whole list, which may be as old as NotificationInterval. The result is shared by the hosts that
+// ask for it, and must not be changed: hundreds may ask at once, while the list changes with each announcement.
+func (sl *serverList) wholeList(now identifier.Instant) serverChanges {
+	if sl.whole.servers == nil || now.Since(sl.whole.at) >= NotificationInterval {
+		sl.whole = serverChanges{until: sl.revision, at: now, servers: sl.collectChanges(0)}
+	}
+	return sl.whole
+}
+
+// changesSince returns the servers that have changed after the revision, in order of revision. The result is shared by
+// the hosts that hold the same revision, and must not be changed.
+func (sl *serverList) changesSince(revision ServerListRevision) serverChanges {
+	if revision >= sl.revision {
+		return serverChanges{after: revision, until: sl.revision}
+	}
+	if sl.recent.servers == nil || sl.recent.after != revision || sl.recent.until != sl.revision {
+		sl.recent = serverChanges{after: revision, until: sl.revision, servers: sl.collectChanges(revision)}
+	}
+	return sl.recent
+}
+
+func (sl *serverList) collectChanges(revision ServerListRevision) []ListedServer {
 	var changed []ListedServer
 	for _, l := range sl.servers {
 		if l.Revision > revision {
@@ -384,6 +420,7 @@
 	for id, l := range sl.servers {
 		if l.Standing != Present && now.Since(l.changed) > GoneServerRetention {
 			delete(sl.servers, id)
+			sl.whole = serverChanges{}
 			sl.assessor.Remove(id)
 			sl.vacate(l.Announcement.Address, id)
 		}
@@ -456,7 +493,7 @@
 	sl.storedRevision, sl.storedVersion, sl.storedEntryHosts, sl.storedAt = sl.revision, source.Version, len(hosts), s.now
 	sl.storedCrashes, sl.storedEvacuations = len(crashes), sl.evacuations.Revision
 	s.emit(StoreServerList{Snapshot: ServerListSnapshot{
-		Servers: sl.changesSince(0), Source: source, Readers: hosts, Crashes: crashes, Evacuations: sl.evacuations,
+		Servers: sl.collectChanges(0), Source: source, Readers: hosts, Crashes: crashes, Evacuations: sl.evacuations,
 	}})
 }
 
@@ -511,6 +548,9 @@
 	if !ok || (e.Subscribes && !p.subscribed) {
 		s.sendCrashes(e.Host)
 	}
+	if e.Subscribes != p.subscribed || s.now.Since(p.lastSeen) >= PollTimeout {
+		s.control.serverList.roster.outdated = true
+	}
 	p.lastSeen = s.now
 	p.subscribed = e.Subscribes
 	p.position = e.Held
@@ -518,27 +558,42 @@
 	p.topology = e.Topology
 	s.askForProof(e.Host, e.Asked)
 	p.evacuations = e.Evacuations
-	if e.Brief {
-		s.sendBrief(e.Host, p, s.allEntryHosts())
+	if e.Brief || s.awaitsWhole(p) {
+		s.sendBrief(e.Host, p)
 		return
 	}
-	s.sendServerList(e.Host, p, s.allEntryHosts())
+	s.sendServerList(e.Host, p)
+}
+
+// awaitsWhole reports whether a poller that asks for the whole list will get one that was sent recently. Hosts ask
+// again while this host is slow to answer, for instance since it has just started; to send each of them several lists
+// would keep it slow.
+func (s *State) awaitsWhole(p *poller) bool {
+	return p.position.Started != s.control.started && p.wholeSent > 0 && s.now.Since(p.wholeSent) < PollTimeout
+}
+
+// forgetSentList notes that a list which was sent to a host may have been lost.
+func (sl *serverList) forgetSentList(id identifier.HostID) {
+	if p, ok := sl.pollers[id]; ok {
+		p.wholeSent = 0
+	}
 }
 
 // sendBrief tells a host that looks for a control host whether this one may be subscribed to.
-func (s *State) sendBrief(id identifier.HostID, to *poller, entryHosts []router.Host) {
+func (s *State) sendBrief(id identifier.HostID, to *poller) {
 	s.emit(Send{To: id, Event: ServerListSent{
-		From: s.parameters.Host, Topology: s.topologyFor(id, to, entryHosts),
+		From: s.parameters.Host, Topology: s.topologyFor(id, to),
 		InTouch: s.inTouch(), Synchronized: s.control.synchronized, Brief: true,
 	}})
 }
 
 // topologyFor returns the topology for a poller, or nil if the poller knows it.
-func (s *State) topologyFor(id identifier.HostID, to *poller, entryHosts []router.Host) *Topology {
+func (s *State) topologyFor(id identifier.HostID, to *poller) *Topology {
+	roster := s.roster()
 	topology := Topology{
 		ControlHosts: append(s.otherControlHosts(), s.control.self),
-		HostCounts:   countEntryHosts(to.domain, entryHosts),
-		Delegates:    delegatesFor(id, to, entryHosts),
+		HostCounts:   roster.counts(to.domain),
+		Delegates:    roster.delegates(id, to),
 	}
 	digest := topology.digest()
 	if digest == to.topology {
@@ -549,26 +604,29 @@
 }
 
 // sendServerList sends a poller the changes that it does not hold yet.
-func (s *State) sendServerList(id identifier.HostID, to *poller, entryHosts []router.Host) {
+func (s *State) sendServerList(id identifier.HostID, to *poller) {
+	roster := s.roster()
 	sl := &s.control.serverList
 	message := ServerListSent{
 		From:         s.parameters.Host,
-		Position:     ServerListPosition{Started: s.control.started, Revision: sl.revision},
 		InTouch:      s.inTouch(),
 		Synchronized: s.control.synchronized,
 		Source:       s.control.replicated.source.sourceAfter(to.version),
-		Lending:      s.lending(len(entryHosts)),
+		Lending:      s.lending(len(roster.hosts)),
 		Proof:        s.proofFor(id),
-		Place:        hostPosition(id, to.domain, entryHosts),
+		Place:        roster.position(id, to.domain),
 		Evacuations:  sl.evacuations.after(to.evacuations),
 	}
-	from := to.position.Revision
-	if to.position.Started != s.control.started {
-		message.Complete = true
-		from = 0
+	var changes serverChanges
+	if message.Complete = to.position.Started != s.control.started; message.Complete {
+		changes = sl.wholeList(s.now)
+		to.wholeSent = s.now
+	} else {
+		changes = sl.changesSince(to.position.Revision)
 	}
-	message.Topology = s.topologyFor(id, to, entryHosts)
-	message.Servers = sl.changesSince(from)
+	message.Topology = s.topologyFor(id, to)
+	message.Servers = changes.servers
+	message.Position = ServerListPosition{Started: s.control.started, Revision: changes.until}
 	to.position = message.Position
 	if message.Source != nil {
 		to.version = message.Source.Version
@@ -597,12 +655,11 @@
 func (s *State) sendChanges() {
 	s.control.serverList.notificationDue = false
 	s.control.serverList.notifiedAt = s.now
-	entryHosts := s.allEntryHosts()
 	for _, id := range sortedKeys(s.control.serverList.pollers) {
 		p := s.control.serverList.pollers[id]
 		if s.now.Since(p.lastSeen) < PollerRetention {
 			if p.subscribed {
-				s.sendServerList(id, p, entryHosts)
+				s.sendServerList(id, p)
 			}
 			continue
 		}
@@ -626,35 +683,6 @@
 	All   int `msgpack:"a"`
 }
 
-// hostPosition returns the position of a host in the domain.
-func hostPosition(id identifier.HostID, domain identifier.DomainID, entryHosts []router.Host) HostPosition {
-	var p HostPosition
-	for _, h := range entryHosts {
-		if h.ID >= id {
-			continue
-		}
-		p.All++
-		if h.Domain == domain {
-			p.Local++
-		}
-	}
-	return p
-}
-
-// countEntryHosts returns the counts of entry hosts for a host in the domain.
-func countEntryHosts(domain identifier.DomainID, entryHosts []router.Host) HostCounts {
-	var counts HostCounts
-	for _, h := range entryHosts {
-		if h.Domain == domain {
-			counts.Local++
-			continue
-		}
-		counts.Remote++
-	}
-	counts.Local = max(1, counts.Local)
-	return counts
-}
-
 // updateListedServer records a server's latest announcement in the list and notifies subscribers
 // of a change.
 func (s *State) updateListedServer(a leaser.Announcement, status ServerStatus) {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -202,6 +202,9 @@
 		sl.localReceived = s.now
 	}
 	if e.Brief {
+		if sl.subscribedTo == e.From && e.InTouch {
+			sl.lastReceived = s.now
+		}
 		s.requestListOf(e)
 		return
 	}
@@ -256,8 +259,14 @@
 	if sl.subscribedTo == before {
 		return s.control.synchronized != synchronized
 	}
-	// Request the whole list again, with this control host's verdicts on degraded servers.
-	delete(sl.positions, e.From)
+	if e.Complete {
+		for _, l := range e.Servers {
+			s.updateReported(e.From, l)
+		}
+	} else {
+		// Request the whole list again, with this control host's verdicts on degraded servers.
+		delete(sl.positions, e.From)
+	}
 	s.sendCrashes(e.From)
 	return true
 }
