pkg/declarer, platform: refuse keys that no request can present, and keep routes closed without customers

A declared key of over 512 bytes or with spaces around it passed validation and never matched. A declaration whose list of customers became empty opened its routes to requests without a key: keys were required only while there was a customer. Now such keys are refused with the field and the reason, also by `lagooncleat check`, and a list that is present requires keys. Declarations without a list are as before.

--- a/pkg/authenticator/authenticator.go
+++ b/pkg/authenticator/authenticator.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	a := authenticator.New(declaration.Customers)
+//	a := authenticator.New(declaration.Customers, declaration.KeysRequired)
 //	customer, ok := a.Authenticate(declarer.DigestKey(key))
 package authenticator
 
@@ -17,9 +17,10 @@
 	required bool
 }
 
-// New returns an Authenticator for the customers, which must not be modified afterwards.
-func New(customers []declarer.Customer) *Authenticator {
-	a := &Authenticator{byKey: map[declarer.KeyDigest]*declarer.Customer{}, required: len(customers) > 0}
+// New returns an Authenticator for the customers, which must not be modified afterwards. If keys are required, requests
+// need one even when there are no customers.
+func New(customers []declarer.Customer, required bool) *Authenticator {
+	a := &Authenticator{byKey: map[declarer.KeyDigest]*declarer.Customer{}, required: required || len(customers) > 0}
 	for i := range customers {
 		for _, key := range customers[i].Keys {
 			a.byKey[key] = &customers[i]
--- a/pkg/authenticator/authenticator_test.go
+++ b/pkg/authenticator/authenticator_test.go
@@ -18,7 +18,7 @@
 }
 
 func Example() {
-	a := authenticator.New([]declarer.Customer{{ID: "clinic", Keys: []declarer.KeyDigest{declarer.DigestKey("k-1")}}})
+	a := authenticator.New([]declarer.Customer{{ID: "clinic", Keys: []declarer.KeyDigest{declarer.DigestKey("k-1")}}}, true)
 	c, ok := a.Authenticate(declarer.DigestKey("k-1"))
 	fmt.Println(c.ID, ok)
 	_, ok = a.Authenticate(declarer.DigestKey("k-2"))
@@ -47,7 +47,7 @@
 		{"knows no holder of a missing key", declarer.KeyDigest{}, ""},
 	} {
 		ginkgo.It(c.name, func() {
-			found, ok := authenticator.New(customers).Authenticate(c.key)
+			found, ok := authenticator.New(customers, true).Authenticate(c.key)
 			gomega.Expect(ok).To(gomega.Equal(c.want != ""))
 			if ok {
 				gomega.Expect(found.ID).To(gomega.Equal(c.want))
@@ -56,7 +56,9 @@
 	}
 
 	ginkgo.It("requires keys only if there are customers", func() {
-		gomega.Expect(authenticator.New(nil).Required()).To(gomega.BeFalse())
-		gomega.Expect(authenticator.New(customers).Required()).To(gomega.BeTrue())
+		gomega.Expect(authenticator.New(nil, false).Required()).To(gomega.BeFalse())
+		gomega.Expect(authenticator.New(customers, true).Required()).To(gomega.BeTrue())
+		// A declaration whose last customer is removed must not open the routes to everyone.
+		gomega.Expect(authenticator.New(nil, true).Required()).To(gomega.BeTrue())
 	})
 })
--- a/pkg/declarer/customer.go
+++ b/pkg/declarer/customer.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -33,6 +35,15 @@
 	return sha256.Sum256(buffer[:copy(buffer[:], key)])
 }
 
+// DigestDeclaredKey returns the digest of a key that a declaration lists, or the zero digest, which makes the
+// declaration invalid, if no request could present the key.
+func DigestDeclaredKey(key string) KeyDigest {
+	if key == "" || len(key) > MaxKeyLength || strings.TrimSpace(key) != key || strings.ContainsFunc(key, unicode.IsControl) {
+		return KeyDigest{}
+	}
+	return DigestKey(key)
+}
+
 // String returns the first digits of the digest, which tell keys apart in messages.
 func (k KeyDigest) String() string {
 	return hex.EncodeToString(k[:loggedDigestBytes])
@@ -98,10 +109,10 @@
 	case !isRate(c.Burst):
 		return invalid(".burst", "the burst is not a number of 0 or more")
 	}
-	empty := DigestKey("")
 	for n, key := range c.Keys {
-		if key == empty {
-			return invalid(fmt.Sprintf(".keys[%d]", n), "the key is empty")
+		if key == (KeyDigest{}) {
+			return invalid(fmt.Sprintf(".keys[%d]", n),
+				fmt.Sprintf("the key is empty, has over %d bytes, or can't be sent in a header", MaxKeyLength))
 		}
 	}
 	return nil
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -108,9 +108,10 @@
 	Routes   []Route            `msgpack:"r"`
 	Services []Service          `msgpack:"s"`
 	Limits   Limits             `msgpack:"l"`
-	// Customers are those that may send requests, each with its keys. If there are none, requests need
-	// no key.
+	// Customers are those that may send requests, each with its keys.
 	Customers []Customer `msgpack:"c"`
+	// KeysRequired is set if the declaration lists its customers, even if the list is empty. Else requests need no key.
+	KeysRequired bool `msgpack:"q"`
 }
 
 // InvalidError is returned for an invalid declaration.
--- a/pkg/permitter/permitter_bench_test.go
+++ b/pkg/permitter/permitter_bench_test.go
@@ -32,7 +32,7 @@
 // the lookup of its customer, the check of the proof, and a credit. The target is 2 us and no allocation.
 func BenchmarkAdmission(b *testing.B) {
 	customers, keys := manyCustomers()
-	a := authenticator.New(customers)
+	a := authenticator.New(customers, true)
 	var proof permitter.Permission
 	proof.Renew(identifier.Instant(identifier.Minute), identifier.Second)
 	now := identifier.Instant(identifier.Minute)
@@ -62,7 +62,7 @@
 		runtime.ReadMemStats(&before)
 		customers, keys := manyCustomers()
 		clear(keys)
-		a := authenticator.New(customers)
+		a := authenticator.New(customers, true)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -31,7 +31,7 @@
 		{ID: "urgent", Keys: []declarer.KeyDigest{declarer.DigestKey("k-urgent")}, Priority: &urgent},
 		{ID: "limited", Keys: []declarer.KeyDigest{declarer.DigestKey("k-limited")}, Rate: 2, Burst: 2},
 	}
-	v.Customers = authenticator.New(v.Declaration.Customers)
+	v.Customers = authenticator.New(v.Declaration.Customers, true)
 	v.ControlHost, v.ControlHosts = leader, []identifier.HostID{"10.0.0.8:70", leader}
 	return v
 }
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -384,7 +384,7 @@
 	}
 	sl.declaration = d
 	sl.routes = matcher.New(d.Routes)
-	sl.customers = authenticator.New(d.Customers)
+	sl.customers = authenticator.New(d.Customers, d.KeysRequired)
 	s.control.version = source.Version
 	s.log(ConfigurationSubsystem, Info, "declaration in force", versionField(source.Version))
 	return true
