pkg/reducer: show entry hosts of a fleet in touch

The gauge lagooncleat_control_in_touch was always 0 on them: the status was published only while the host looked for a control host. It is now published with each poll of a subscribed host too. The case "shows that it is in touch" fails before the change.

--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -85,6 +85,7 @@
 	if sl.subscribedTo != "" {
 		s.requestServerList(sl.subscribedTo)
 		s.requestLocalIfRemote()
+		s.publishControlStatus()
 		return
 	}
 	if s.now.Since(sl.searchStart) >= LocalWaitLimit || !s.requestLocalServerLists() {
