pkg/permitter, pkg/reducer: return allotments at a planned stop, and fail closed without known quotas

- A leader that can't interpret the declaration, as an older program may not, owned quotas without limits, and control hosts let all requests pass.
It now owns none, so that requests of customers with a quota are refused.

--- a/pkg/permitter/holder.go
+++ b/pkg/permitter/holder.go
@@ -35,6 +35,8 @@
 	answered   bool
 	changedAt  identifier.Instant
 	changed    bool
+	// draining is set once the host stops.
+	draining bool
 }
 
 // held is what the host holds of one account, and what it was asked for.
@@ -71,7 +73,7 @@
 // target returns how many requests the host wants to hold: its recent demand within a term, so that requests need
 // not wait for the owner, and most go on while another one is elected.
 func (h *Holder[A]) target(now identifier.Instant, x *held) Requests {
-	if now.Since(x.usedAt) >= h.terms.Idle {
+	if h.draining || now.Since(x.usedAt) >= h.terms.Idle {
 		return x.waiting + x.lent
 	}
 	return x.waiting + x.lent + max(1, Requests(math.Ceil(h.decayed(now, x)-0.5)))
@@ -82,6 +84,10 @@
 	return x.demand * math.Exp(-float64(now.Since(x.usedAt))/float64(h.terms.Term))
 }
 
+// Drain makes the host hold only what is waited for: the next report, which must be made now, returns the rest. Without
+// it, what a host held when it stopped would count as spent until its term has ended.
+func (h *Holder[A]) Drain() { h.draining = true }
+
 // Use records the demand of one request. It must be called once for each, before Take.
 func (h *Holder[A]) Use(now identifier.Instant, id A) {
 	x, ok := h.shares[id]
--- a/pkg/permitter/permitter_test.go
+++ b/pkg/permitter/permitter_test.go
@@ -381,6 +381,31 @@
 		gomega.Expect(h.NextReport(now)).To(gomega.Equal(identifier.Never))
 	})
 
+	// Guards against customers that are refused since what a stopped host held counts as spent.
+	ginkgo.It("go back to the owner at once when a holder stops", func() {
+		o, h, now := start(permitter.Limit{Rate: 10, Burst: 10}, permitter.QuotaTerms)
+		for range 20 {
+			h.Use(now, "a")
+		}
+		exchange(o, h, now)
+		held := h.Held(now, "a")
+		gomega.Expect(held).To(gomega.BeNumerically(">", 1))
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeTrue())
+		h.Drain()
+		now = now.Add(identifier.Millisecond)
+		exchange(o, h, now)
+		gomega.Expect(o.Held("a")).To(gomega.BeZero())
+		gomega.Expect(h.Take(now, "a")).To(gomega.BeFalse())
+		next := permitter.NewHolder[customer](permitter.QuotaTerms)
+		for range 20 {
+			next.Use(now, "a")
+			next.Wait("a", 1)
+		}
+		next.Receive(now, o.Handle(now, "host-2", next.Report(permitter.Reading{Process: 1, At: now})))
+		gomega.Expect(next.Held(now, "a")).To(gomega.BeNumerically(">=", held-1))
+		gomega.Expect(o.Balanced()).To(gomega.BeTrue())
+	})
+
 	// The owner keeps the counters of a session, and a holder that began anew would count all its grants again.
 	ginkgo.It("are not granted again after an account was idle in a session", func() {
 		for _, terms := range []permitter.Terms{permitter.QuotaTerms, permitter.BriefTerms} {
--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -201,7 +201,7 @@
 // leadershipLost is called when this host no longer leads. Commands that it proposed and
 // that have not reached apply may or may not be committed.
 func (s *State) leadershipLost() {
-	s.control.credits.owner = nil
+	s.disownQuotas()
 	s.control.cold.owner = nil
 	s.redirectWaiters()
 	s.publishControlStatus()
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -379,9 +379,11 @@
 	s.schedule(s.now.Add(ExpiryInterval), expiryDue{})
 }
 
-// leave notifies the other hosts, which then take over this host's servers.
+// leave notifies the other hosts, which then take over this host's servers, and returns the allotments that this host
+// holds.
 func (s *State) leave() {
 	s.control.leaving = true
+	s.returnAllotments()
 	s.sendHeartbeats()
 	s.publish()
 }
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -210,7 +210,8 @@
 	reportAt identifier.Instant
 	// publishAt is the instant from which the credits are published again.
 	publishAt identifier.Instant
-	// owner divides the quotas while this host leads; nil otherwise.
+	// leads is set while this host leads. owner divides the quotas then, unless they are unknown; nil otherwise.
+	leads bool
 	owner *permitter.Allotter[identifier.CustomerID]
 }
 
@@ -317,6 +318,14 @@
 	s.sendOrHandle(leader, AllotmentsRequested{From: s.parameters.Host, Report: report})
 }
 
+// returnAllotments gives back what this control host holds before it stops.
+func (s *State) returnAllotments() {
+	if _, ok := s.tolerance(); ok {
+		s.control.credits.holder.Drain()
+		s.sendReport()
+	}
+}
+
 // sendOrHandle sends an event to a control host, which may be this one.
 func (s *State) sendOrHandle(to identifier.HostID, e MembershipEvent) {
 	if to == s.parameters.Host {
@@ -353,30 +362,52 @@
 
 // ownQuotas makes this host, which has become the leader, the owner of the quotas.
 func (s *State) ownQuotas() {
-	if tolerance, ok := s.tolerance(); ok {
-		s.control.credits.owner = permitter.NewAllotter[identifier.CustomerID](s.now, s.parameters.Host, tolerance, permitter.QuotaTerms)
-		s.updateQuotas()
-	}
+	s.control.credits.leads = true
+	s.updateQuotas()
+}
+
+// disownQuotas ends this host's ownership of the quotas.
+func (s *State) disownQuotas() {
+	s.control.credits.leads, s.control.credits.owner = false, nil
 }
 
-// updateQuotas applies the quotas of the committed declaration if this host owns them. Each control host asks again
-// for what was denied by the earlier ones.
+// updateQuotas applies the quotas of the committed declaration if this host leads. Each control host asks again for
+// what was denied by the earlier ones. A leader that can't interpret the declaration owns no quotas, so that requests of
+// customers that have one are refused: to an owner without limits, none of them would have one.
 func (s *State) updateQuotas() {
-	s.control.credits.holder.ForgetDenials()
-	source := s.control.replicated.source.Source
-	if s.control.credits.owner == nil || source.Version == 0 {
+	c := &s.control.credits
+	c.holder.ForgetDenials()
+	tolerance, ok := s.tolerance()
+	if !ok || !c.leads {
 		return
 	}
-	d, err := s.interpret(source)
+	limits, err := s.committedQuotas()
 	if err != nil {
-		s.log(ConfigurationSubsystem, Error, "cannot interpret declaration", Field{"reason", err.Error()})
+		s.log(ConfigurationSubsystem, Error, "cannot interpret declaration; its quotas have no owner", Field{"reason", err.Error()})
+		c.owner = nil
 		return
 	}
+	if c.owner == nil {
+		c.owner = permitter.NewAllotter[identifier.CustomerID](s.now, s.parameters.Host, tolerance, permitter.QuotaTerms)
+	}
+	c.owner.SetLimits(s.now, limits)
+}
+
+// committedQuotas returns the limits of the customers of the committed declaration.
+func (s *State) committedQuotas() (map[identifier.CustomerID]permitter.Limit, error) {
 	limits := map[identifier.CustomerID]permitter.Limit{}
+	source := s.control.replicated.source.Source
+	if source.Version == 0 {
+		return limits, nil
+	}
+	d, err := s.interpret(source)
+	if err != nil {
+		return nil, err
+	}
 	for i := range d.Customers {
 		if c := &d.Customers[i]; c.Limited() {
 			limits[c.ID] = permitter.Limit{Rate: c.Rate, Burst: c.Burst}
 		}
 	}
-	s.control.credits.owner.SetLimits(s.now, limits)
+	return limits, nil
 }
