pkg/reducer: count no attempt for parts that a delegate has not tried

At 300 machines, after a failure domain has returned, queries end with too-few-parts within 4 ms of their start: hosts that have just started know no servers and end a delegation, and each of its pieces counted as an attempt that may have run. The requester, which has one or two extra attempts at that size, could not send its own, and told its client that the request may have run.

A host that knows no servers, or has none of a service, now reports pieces that it has not tried; they cost nothing, and the requester backs the host off if that holds for all of them.

--- a/internal/encoder/growth.go
+++ b/internal/encoder/growth.go
@@ -23,6 +23,7 @@
 	{reducer.ServerListRequested{}, 7},
 	{reducer.ServerListSent{}, 11},
 	{reducer.PartsRequested{}, 10},
+	{reducer.PartsDelivered{}, 8},
 	{reducer.Payload{}, 4},
 	{reducer.ListedServer{}, 5},
 	{reducer.ServersMeasured{}, 3},
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -74,11 +74,13 @@
 		// Failed are the services whose parts won't arrive; Ended is set when no further part will.
 		Failed []identifier.ServiceID `msgpack:"x"`
 		Ended  bool                   `msgpack:"e"`
-		// Unsent is set when the request never reached the delegate.
+		// Unsent is set when the request never reached the delegate, or the delegate has sent no attempt for it.
 		Unsent bool `msgpack:"u"`
 		// Crashed is set when the request may have crashed servers: they have closed the connections
 		// of its attempts, and none has answered.
 		Crashed bool `msgpack:"c"`
+		// Untried are those of Failed to which the delegate has sent no attempt.
+		Untried []identifier.ServiceID `msgpack:"t"`
 	}
 	// PartsCancelled cancels a PartsRequested.
 	PartsCancelled struct {
@@ -314,7 +316,10 @@
 	}
 	s.mergeParts(q, d, e)
 	for _, id := range e.Failed {
-		s.failDelegatedPiece(q, d, id, false)
+		s.failDelegatedPiece(q, d, id, slices.Contains(e.Untried, id))
+	}
+	if e.Unsent {
+		s.backOffDelegate(q, d)
 	}
 	if e.Ended {
 		s.endDelegation(q, d, e.Unsent)
@@ -389,8 +394,8 @@
 	d.open = len(d.pieces) > 0
 }
 
-// failDelegatedPiece handles a piece whose part the delegate can't get. If the request never
-// reached the delegate, it doesn't count as an attempt.
+// failDelegatedPiece handles a piece whose part the delegate can't get. If the delegate has sent no attempt for it, it
+// doesn't count as one.
 func (s *State) failDelegatedPiece(q *request, d *delegation, id identifier.ServiceID, unsent bool) {
 	i := slices.IndexFunc(d.pieces, func(i int) bool { return q.pieces[i].service == id })
 	if i < 0 {
@@ -453,11 +458,8 @@
 // acceptDelegated gathers parts for another host, with one attempt for each piece: that host
 // sends hedges itself.
 func (s *State) acceptDelegated(e PartsRequested) {
-	if s.traffic.view.Fleet == nil {
-		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Ended: true}})
-		return
-	}
-	if !s.mayServe(e.Customer) {
+	// A host that has just started knows no servers yet.
+	if s.traffic.view.Fleet == nil || !s.mayServe(e.Customer) {
 		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Unsent: true, Ended: true}})
 		return
 	}
@@ -529,6 +531,7 @@
 			s.sendParts(q, to, []int{i}, false)
 		}
 	case ended:
+		s.sendFailures(q, to)
 		s.sendParts(q, to, received, true)
 		s.removeRequest(q)
 		return
@@ -573,8 +576,11 @@
 func (s *State) sendFailures(q *request, to *hostRequester) {
 	message := PartsDelivered{From: s.parameters.Host, Request: to.request, Crashed: q.mayCrashServers()}
 	for i := range q.pieces {
-		if q.pieces[i].finished && q.pieces[i].answer == nil && !to.reported[i] {
-			message.Failed = append(message.Failed, q.pieces[i].service)
+		if p := &q.pieces[i]; p.finished && p.answer == nil && !to.reported[i] {
+			message.Failed = append(message.Failed, p.service)
+			if p.arrivals == 0 {
+				message.Untried = append(message.Untried, p.service)
+			}
 			to.reported[i] = true
 		}
 	}
