pkg/reducer: take over from other control hosts which servers are silent

A control host that starts takes its stored list for current. A server that is known only from the stored list is now silent if a synchronized control host says so. An announcement makes it present again, as before.

The new case fails before the change.

--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -266,6 +266,7 @@
 	if s.outdated(a) {
 		return false
 	}
+	delete(s.control.serverList.restoredServers, a.Server)
 	if s.control.replicated.departures.stage(s.now, a) == Finishing {
 		a.State = leaser.Draining
 	}
--- a/pkg/reducer/renewal.go
+++ b/pkg/reducer/renewal.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		s.renewLease(r.Server)
+		delete(s.control.serverList.restoredServers, r.Server)
 	}
 	if len(wanted) > 0 {
 		s.emit(Send{To: e.From, Event: AnnouncementsWanted{Host: s.parameters.Host, Servers: wanted}})
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -305,6 +305,8 @@
 	// restoredEntryHosts are the entry hosts in the snapshot from before this host started; they
 	// count until it is synchronized.
 	restoredEntryHosts []router.Host
+	// restoredServers are the servers known only from that snapshot: they have not announced themselves since.
+	restoredServers map[identifier.ServerID]bool
 	storedAt           identifier.Instant
 	declaration        *declarer.Declaration
 	routes             *matcher.Matcher
@@ -332,6 +334,7 @@
 		pollers:               map[identifier.HostID]*poller{},
 		topologies:            map[identifier.HostID]TopologyDigest{},
 		peerSubscribers:       map[identifier.HostID][]router.Host{},
+		restoredServers:       map[identifier.ServerID]bool{},
 		announcementAddresses: map[identifier.HostID]identifier.Address{},
 		positions:             map[identifier.HostID]ServerListPosition{},
 		listRequested:         map[identifier.HostID]identifier.Instant{},
@@ -514,6 +517,7 @@
 		if l.Standing == Present {
 			s.recordAnnouncement(s.now, l.Announcement)
 			s.restoreStatement(l)
+			s.control.serverList.restoredServers[l.Announcement.Server] = true
 			continue
 		}
 		s.control.serverList.update(s.now, l.Announcement, l.Standing)
@@ -768,6 +772,12 @@
 			}
 		case l.Standing == Left || !s.isPresent(l.Announcement.Server):
 			s.control.serverList.update(s.now, l.Announcement, l.Standing)
+		case l.Standing == Silent && e.Synchronized && s.control.serverList.restoredServers[l.Announcement.Server]:
+			// Otherwise the hosts of a failure domain that returns would send work to its former servers until their
+			// leases lapse.
+			s.control.leases.Remove(l.Announcement.Server)
+			s.publish(l.Announcement.Server)
+			s.updateListedServer(s.control.serverList.servers[l.Announcement.Server].Announcement, Silent)
 		}
 	}
 	s.control.synchronized = e.Synchronized
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -426,6 +426,14 @@
 			f.withdraw(1, "s-1")
 			f.restart(0)
 		}, map[identifier.ServerID]bool{}},
+		{"shows a server as silent that stopped while its control host was down", func(f *smallFleet) {
+			f.announce(0, announcement("s-1", 1, 1))
+			f.run(3 * identifier.Second)
+			f.stop(controlName(0), false)
+			f.run(6 * identifier.Second)
+			f.restart(0)
+			f.run(300 * identifier.Millisecond)
+		}, map[identifier.ServerID]bool{"s-1": true}},
 		{"omits a server whose withdrawal reached a control host that has just lost its disk", func(f *smallFleet) {
 			f.announce(0, announcement("s-1", 1, 1))
 			f.run(3 * identifier.Second)
