internal/messenger, pkg/reducer: replace the connection to a delegate that comes back

A host that loses power leaves no sign on the connections to it. When it was back after four seconds, the first delegation of each other host went to such a connection and was lost, and each of its pieces counted as an attempt that may have run; in a deployment of hundreds of hosts the budgets can't bear that. The keep-alive probes find such a connection up to two seconds later.

The list of delegates shows when a host comes back. For each delegate that is new in it the control state returns the effect Reconnect, and the messenger replaces an open connection before it sends the next event.

The new cases fail without the effect.

--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -15,6 +15,8 @@
 		l.wakeAt(e.At)
 	case reducer.Send:
 		h.send(e)
+	case reducer.Reconnect:
+		h.sender.Reconnect(e.Host)
 	case reducer.Log:
 		h.log(e)
 	case reducer.Count:
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -28,6 +28,8 @@
 // Sender sends events to other hosts.
 type Sender interface {
 	Send(to identifier.HostID, event reducer.Event)
+	// Reconnect replaces the connection to a host, if there is one.
+	Reconnect(to identifier.HostID)
 }
 
 // Caller runs calls on backend servers.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -84,10 +84,21 @@
 	group   sync.WaitGroup
 	// mutex guards queues and connections.
 	mutex       sync.Mutex
-	queues      map[identifier.HostID]chan reducer.Event
+	queues      map[identifier.HostID]*peerQueue
 	connections map[net.Conn]struct{}
 }
 
+// peerQueue holds the events for a peer. A value in replace ends the connection to it.
+type peerQueue struct {
+	events  chan reducer.Event
+	replace chan struct{}
+	// next is the event that goes before those in events, or nil. Only the send loop uses it.
+	next reducer.Event
+}
+
+// errReplaced ends a connection that Reconnect replaces.
+var errReplaced = errors.New("connection replaced")
+
 // New returns a Messenger that connects to its peers in the background. It calls
 // deliver for each event received, from several goroutines at once.
 func New(p Parameters, deliver func(reducer.Event), logger hclog.Logger) *Messenger {
@@ -98,20 +109,20 @@
 		logger:      logger,
 		host:        p.Host,
 		peers:       p.Peers,
-		queues:      map[identifier.HostID]chan reducer.Event{},
+		queues:      map[identifier.HostID]*peerQueue{},
 		context:     ctx,
 		cancel:      cancel,
 		connections: map[net.Conn]struct{}{},
 	}
 	for id := range p.Peers {
-		m.peerQueue(id)
+		m.queueOf(id)
 	}
 	return m
 }
 
-// peerQueue returns the queue of a peer, and starts the peer's send loop on the first call.
+// queueOf returns the queue of a peer, and starts the peer's send loop on the first call.
 // The ID of a host that is not in the settings is its address.
-func (m *Messenger) peerQueue(to identifier.HostID) (chan reducer.Event, bool) {
+func (m *Messenger) queueOf(to identifier.HostID) (*peerQueue, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if queue, ok := m.queues[to]; ok {
@@ -124,7 +135,7 @@
 		}
 		address = identifier.Address(to)
 	}
-	queue := make(chan reducer.Event, maxQueuedEvents)
+	queue := &peerQueue{events: make(chan reducer.Event, maxQueuedEvents), replace: make(chan struct{}, 1)}
 	m.queues[to] = queue
 	m.group.Go(func() { m.sendLoop(to, address, queue) })
 	return queue, true
@@ -145,20 +156,33 @@
 // Send queues an event for the peer. If the queue is full or the peer is unknown, it reports
 // the event as undeliverable.
 func (m *Messenger) Send(to identifier.HostID, event reducer.Event) {
-	queue, ok := m.peerQueue(to)
+	queue, ok := m.queueOf(to)
 	if !ok {
 		m.logger.Warn("unknown peer; event not sent", "peer", to)
 		m.reportUndeliverable(to, event)
 		return
 	}
 	select {
-	case queue <- event:
+	case queue.events <- event:
 	default:
 		m.logger.Warn("send queue of peer is full; event not sent", "peer", to)
 		m.reportUndeliverable(to, event)
 	}
 }
 
+// Reconnect replaces the connection to a peer, if there is one. Without it, the next event would be lost if the peer
+// has lost power since it was last sent one: the connection still looks open.
+func (m *Messenger) Reconnect(to identifier.HostID) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if queue, ok := m.queues[to]; ok {
+		select {
+		case queue.replace <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // reportUndeliverable delivers the event that reports the given event as never sent, if
 // there is one for its type.
 func (m *Messenger) reportUndeliverable(to identifier.HostID, event reducer.Event) {
@@ -218,9 +242,14 @@
 
 // sendLoop connects to a peer, reconnects after each failure, and sends the queued events.
 // It returns when the Messenger is closed or the peer is removed.
-func (m *Messenger) sendLoop(id identifier.HostID, address identifier.Address, queue chan reducer.Event) {
+func (m *Messenger) sendLoop(id identifier.HostID, address identifier.Address, queue *peerQueue) {
 	lastReached := time.Now()
 	for m.context.Err() == nil {
+		// Whoever asks for another connection gets the one that is dialed now.
+		select {
+		case <-queue.replace:
+		default:
+		}
 		c, err := m.dial(address)
 		if err != nil {
 			m.rejectQueued(id, queue)
@@ -251,12 +280,16 @@
 
 // rejectQueued reports the events queued for an unreachable peer as undeliverable, until it
 // is time to redial.
-func (m *Messenger) rejectQueued(to identifier.HostID, queue chan reducer.Event) {
+func (m *Messenger) rejectQueued(to identifier.HostID, queue *peerQueue) {
+	if queue.next != nil {
+		m.reportUndeliverable(to, queue.next)
+		queue.next = nil
+	}
 	redial := time.NewTimer(redialDelay)
 	defer redial.Stop()
 	for {
 		select {
-		case event := <-queue:
+		case event := <-queue.events:
 			m.reportUndeliverable(to, event)
 		case <-redial.C:
 			return
@@ -268,7 +301,7 @@
 
 // writeQueued writes the queued events to a connection, and flushes whenever the queue is
 // empty.
-func (m *Messenger) writeQueued(c net.Conn, queue chan reducer.Event) error {
+func (m *Messenger) writeQueued(c net.Conn, queue *peerQueue) error {
 	w := bufio.NewWriterSize(c, bufferSize)
 	if err := writeFrame(w, []byte(m.host)); err != nil {
 		return err
@@ -276,12 +309,26 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if event := queue.next; event != nil {
+		queue.next = nil
+		if err := m.writeBatch(c, w, event, queue.events); err != nil {
+			return err
+		}
+	}
 	for {
 		select {
-		case event := <-queue:
-			if err := m.writeBatch(c, w, event, queue); err != nil {
+		case event := <-queue.events:
+			select {
+			case <-queue.replace:
+				queue.next = event
+				return errReplaced
+			default:
+			}
+			if err := m.writeBatch(c, w, event, queue.events); err != nil {
 				return err
 			}
+		case <-queue.replace:
+			return errReplaced
 		case <-m.context.Done():
 			return m.context.Err()
 		}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -125,3 +127,75 @@
 		})
 	}
 })
+
+// Guards against the loss of the first events to a host that has lost power and come back: the old connection still looks
+// open on this side.
+var _ = ginkgo.Describe("a replaced connection", func() {
+	for _, c := range []struct {
+		name string
+		used bool
+	}{
+		{"carries no event that is sent afterwards", true},
+		{"isn't made if there was none", false},
+	} {
+		ginkgo.It(c.name, func() {
+			peerListener, address := listen()
+			defer peerListener.Close()
+			accepted := make(chan net.Conn, 4)
+			go func() {
+				for {
+					conn, err := peerListener.Accept()
+					if err != nil {
+						return
+					}
+					accepted <- conn
+				}
+			}()
+			localListener, _ := listen()
+			n := startNode("h-1", localListener, nil)
+			defer localListener.Close()
+			defer n.Close()
+			to := identifier.HostID(address)
+			if !c.used {
+				n.Reconnect(to)
+				gomega.Consistently(accepted, "100ms").ShouldNot(gomega.Receive())
+				return
+			}
+			n.Send(to, submitted)
+			var first, second net.Conn
+			gomega.Eventually(accepted, waitLimit).Should(gomega.Receive(&first))
+			defer first.Close()
+			data, err := readEvent(first)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(data).NotTo(gomega.BeEmpty())
+			n.Reconnect(to)
+			n.Send(to, submitted)
+			gomega.Eventually(accepted, waitLimit).Should(gomega.Receive(&second))
+			defer second.Close()
+			again, err := readEvent(second)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(again).To(gomega.Equal(data))
+			_, err = first.Read(make([]byte, 1))
+			gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		})
+	}
+})
+
+// readEvent reads the name of the sender from a connection, and returns the encoding of the event that follows.
+func readEvent(conn net.Conn) ([]byte, error) {
+	if err := conn.SetDeadline(time.Now().Add(waitLimit)); err != nil {
+		return nil, err
+	}
+	var content []byte
+	for range 2 {
+		var header [4]byte
+		if _, err := io.ReadFull(conn, header[:]); err != nil {
+			return nil, err
+		}
+		content = make([]byte, binary.BigEndian.Uint32(header[:]))
+		if _, err := io.ReadFull(conn, content); err != nil {
+			return nil, err
+		}
+	}
+	return content, nil
+}
--- a/pkg/reducer/effect.go
+++ b/pkg/reducer/effect.go
@@ -25,6 +25,11 @@
 		To    identifier.HostID
 		Event Event
 	}
+	// Reconnect replaces the connection to a host, if there is one, before the next event is sent to it.
+	Reconnect struct {
+		effect
+		Host identifier.HostID
+	}
 	// Log writes a line to the logger of a subsystem.
 	Log struct {
 		effect
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -307,10 +307,10 @@
 	restoredEntryHosts []router.Host
 	// restoredServers are the servers known only from that snapshot: they have not announced themselves since.
 	restoredServers map[identifier.ServerID]bool
-	storedAt           identifier.Instant
-	declaration        *declarer.Declaration
-	routes             *matcher.Matcher
-	customers          *authenticator.Authenticator
+	storedAt        identifier.Instant
+	declaration     *declarer.Declaration
+	routes          *matcher.Matcher
+	customers       *authenticator.Authenticator
 	// assessor detects degraded servers from the measurements of this control host's subscribers,
 	// and lender counts the extra attempts that they have borrowed.
 	assessor *assessor.Assessor
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -289,6 +289,11 @@
 	sl.countedAt, sl.latestHostCounts = s.now, e.Topology.HostCounts
 	sl.hostCounts.Local = max(sl.hostCounts.Local, sl.latestHostCounts.Local)
 	sl.hostCounts.Remote = max(sl.hostCounts.Remote, sl.latestHostCounts.Remote)
+	for _, h := range e.Topology.Delegates {
+		if !slices.Contains(sl.delegates, h) {
+			s.emit(Reconnect{Host: h.ID})
+		}
+	}
 	sl.delegates = e.Topology.Delegates
 	s.publish()
 }
