pkg/reducer: don't return credits late

The credit of a request that did not run was returned whenever the request ended, up to 8 s later. By then the customer's level may have been refilled to its maximum, and both together can exceed the limit: for 34 requests a second, 44 of the level, 170 that accrue in the window and 44 returned at its end are 258, where 244 are allowed. This is arithmetic; no run has shown it. Credits are now returned within 0.5 s or not at all, which adds at most half a second's requests. The new case fails before the change.

--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -246,6 +246,15 @@
 			}
 			e.sent = nil
 		}, 0, reducer.ServersRefused, true},
+		// Returned credits came on top of a level that had been refilled during an outage of servers.
+		{"keep the credit of a request that didn't run for long", func(e *entryHost) {
+			grant(e)
+			e.advance(501 * identifier.Millisecond)
+			for i := 0; i < len(e.sent); i++ {
+				e.refuse(i, reducer.ExchangeShed)
+			}
+			e.sent = nil
+		}, 0, reducer.ServersRefused, false},
 		{"keep the credit of a request that may have run", func(e *entryHost) {
 			grant(e)
 			e.lose(0)
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -24,6 +24,10 @@
 	creditRetryInterval = 25 * identifier.Millisecond
 	// creditHoldTime is how long a control host keeps a request for a credit that it can't answer yet.
 	creditHoldTime = 250 * identifier.Millisecond
+	// creditReturnLimit is how long after it was given a credit may be returned. The customer's level rises meanwhile, up
+	// to its maximum; what is returned later would come on top of that and could exceed the limit after an outage of
+	// servers.
+	creditReturnLimit = 500 * identifier.Millisecond
 	// OwnerMissingRetryAfter is the Retry-After of a request that waited for a credit in vain: about half the
 	// time in which another owner is elected.
 	OwnerMissingRetryAfter = 500 * identifier.Millisecond
@@ -173,7 +177,7 @@
 		s.emit(Send{To: e.From, Event: CreditReturned{Customer: e.Customer}})
 		return
 	}
-	q.credit, q.creditFrom = creditTaken, e.From
+	q.credit, q.creditFrom, q.creditAt = creditTaken, e.From, s.now
 	s.beginRequest(q)
 }
 
@@ -183,9 +187,9 @@
 	s.finishRequest(q, Declined{Reason: QuotaExceeded, Ran: RanNo, RetryAfter: max(minQuotaRetryAfter, until.Since(s.now))})
 }
 
-// returnCredit gives back the credit of a request that ends before any attempt may have run.
+// returnCredit gives back the credit of a request that ends soon, before any attempt may have run.
 func (s *State) returnCredit(q *request) {
-	if q.credit == creditTaken && !q.mayHaveRun() {
+	if q.credit == creditTaken && !q.mayHaveRun() && s.now.Since(q.creditAt) <= creditReturnLimit {
 		s.emit(Send{To: q.creditFrom, Event: CreditReturned{Customer: q.customer.ID}})
 	}
 	q.credit = creditNone
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -272,10 +272,11 @@
 	rank      identifier.Rank
 	// customer is who sent the request; nil if no key was needed.
 	customer *declarer.Customer
-	// credit is what the request has of its customer's quota, creditFrom the control host that gave it,
+	// credit is what the request has of its customer's quota, creditFrom the control host that gave it at creditAt,
 	// creditDeadline until when the request waits for one, and creditTries how often it has asked.
 	credit         creditState
 	creditFrom     identifier.HostID
+	creditAt       identifier.Instant
 	creditDeadline identifier.Instant
 	creditTries    int
 	arrival        identifier.Instant
