pkg/reducer: time hedges by the route until a service is measured

Until a service is measured, the answers of all services of the route tell how long one takes. Before the first ones have come, hedges wait while most attempts are open.

--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -256,8 +256,7 @@
 	for _, i := range pieces {
 		p := &q.pieces[i]
 		message.Services = append(message.Services, p.service)
-		_, high := s.traffic.service(p.service).hedger.TypicalLatency(q.rank)
-		typical = max(typical, high)
+		typical = max(typical, s.expectedLatency(q, p.service))
 		p.openAttempts++
 		p.sent++
 		p.arrivals++
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -25,6 +25,8 @@
 	// A hedge is sent hedgeLeadFactor typical latencies plus hedgeSlack before its answer is
 	// due: one attempt in twenty exceeds the typical latency, and the network adds to it.
 	hedgeLeadFactor = 1.5
+	// minHedgedAttempts is from how many attempts on their answers tell a late one from a request that is late as a whole.
+	minHedgedAttempts = 4
 	hedgeSlack      = 4 * identifier.Millisecond
 	// unmeasuredLatencyDivisor divides the target latency to estimate the typical latency of a
 	// service without measurements.
@@ -345,8 +347,18 @@
 	if !q.route.Repeatable || q.probing || len(q.pieces[a.piece].tried) > 0 {
 		return identifier.Never
 	}
-	_, typical := s.traffic.service(a.service).hedger.TypicalLatency(q.rank)
-	return s.hedgeTimeFor(q, typical)
+	return s.hedgeTimeFor(q, s.expectedLatency(q, a.service))
+}
+
+// expectedLatency returns the typical latency of a service for a request; 0 if nothing was measured. Among hundreds of
+// hosts, one measures a single service for minutes before it knows its latency; all services of the route together
+// tell it after one request.
+func (s *State) expectedLatency(q *request, service identifier.ServiceID) identifier.Micros {
+	_, typical := s.traffic.service(service).hedger.TypicalLatency(q.rank)
+	if typical == 0 && len(q.route.Shards) > 0 {
+		_, typical = s.traffic.routeLatencies(q.route.ID).TypicalLatency(q.rank)
+	}
+	return typical
 }
 
 // sendHedges sends the hedges of attempts and delegations that are due.
@@ -363,12 +375,32 @@
 		if q.pieces[a.piece].finished || q.pieces[a.piece].openAttempts > 1 {
 			continue
 		}
+		if s.awaitsMeasurements(q) {
+			a.hedgeAt = s.now.Add(hedgeSlack)
+			continue
+		}
 		if next := s.now.Add(max(elapsed, hedgeSlack)); (s.holdsBack(q) || !s.sendAttempt(q, a.piece)) && next < q.deadline {
 			a.hedgeAt = next
 		}
 	}
 }
 
+// awaitsMeasurements reports whether the hedges of a request are put off: this host has just started, has measured
+// nothing on the request's route, and most of its attempts have no answer yet. All of them wait for the same reason then,
+// such as new connections, and their hedges would use up the extra attempts of all services at once.
+func (s *State) awaitsMeasurements(q *request) bool {
+	if len(q.attempts) < minHedgedAttempts || s.now >= q.answerAt || s.expectedLatency(q, q.pieces[0].service) > 0 {
+		return false
+	}
+	open := 0
+	for _, a := range q.attempts {
+		if a.open {
+			open++
+		}
+	}
+	return 2*open > len(q.attempts)
+}
+
 // hedgeTimeFor returns when to hedge an attempt that is sent now, given its typical latency; Never
 // if that is not before the deadline.
 func (s *State) hedgeTimeFor(q *request, typical identifier.Micros) identifier.Instant {
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -691,3 +691,18 @@
 func (e *entryHost) searchShards() []identifier.ServiceID {
 	return entryFleetView().Declaration.Routes[0].Shards
 }
+
+// addShards adds shards to the first route of a fleet's view, each with a server in each of three failure domains.
+func addShards(v *reducer.FleetView, count int) {
+	for i := range count {
+		id := identifier.ServiceID(fmt.Sprintf("more-%d", i))
+		v.Services[id] = &declarer.Service{ID: id, MaxConnections: 30}
+		for d := range 3 {
+			v.Backends[id] = append(v.Backends[id], reducer.Backend{Announcement: leaser.Announcement{
+				Server: identifier.ServerID(fmt.Sprintf("%s-%d", id, d)), Service: id, Domain: domain(d), Slots: 3, Incarnation: 1,
+			}})
+		}
+		v.Declaration.Routes[0].Shards = append(v.Declaration.Routes[0].Shards, id)
+	}
+	v.Routes = matcher.New(v.Declaration.Routes)
+}
