--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -27,7 +27,7 @@
 	hedgeLeadFactor = 1.5
 	// minHedgedAttempts is from how many attempts on their answers tell a late one from a request that is late as a whole.
 	minHedgedAttempts = 4
-	hedgeSlack      = 4 * identifier.Millisecond
+	hedgeSlack        = 4 * identifier.Millisecond
 	// unmeasuredLatencyDivisor divides the target latency to estimate the typical latency of a
 	// service without measurements.
 	unmeasuredLatencyDivisor = 3
