pkg/reducer: name the index of entry hosts for what it is, and notify no host that awaits its whole list

"Roster" is the stored server list elsewhere. A subscriber whose whole list is on its way got another one with the next change; the new case fails without the guard.

--- a/pkg/reducer/roster.go
+++ b/pkg/reducer/entryhosts.go
@@ -7,12 +7,12 @@
 	"github.com/lagooncleat/lagooncleat/pkg/router"
 )
 
-// rosterLifetime limits the age of a roster: hosts that fall silent leave it without an event.
-const rosterLifetime = NotificationInterval
+// entryHostIndexLifetime limits the age of an index: hosts that fall silent leave the list without an event.
+const entryHostIndexLifetime = NotificationInterval
 
-// roster is the list of entry hosts that a control host knows of, prepared for its answers to pollers. Building it for
+// entryHostIndex is the list of entry hosts that a control host knows of, prepared for its answers to pollers. Building it for
 // each answer costs time in proportion to the hosts, and control time in proportion to their square.
-type roster struct {
+type entryHostIndex struct {
 	hosts []router.Host
 	// all and byDomain hold the hosts' IDs in order.
 	all      []identifier.HostID
@@ -24,54 +24,54 @@
 	outdated bool
 }
 
-// roster returns the current roster.
-func (s *State) roster() *roster {
-	r := &s.control.serverList.roster
-	if r.generation > 0 && !r.outdated && s.now.Since(r.builtAt) < rosterLifetime {
-		return r
+// entryHosts returns the current index of the entry hosts.
+func (s *State) entryHosts() *entryHostIndex {
+	x := &s.control.serverList.entryHosts
+	if x.generation > 0 && !x.outdated && s.now.Since(x.builtAt) < entryHostIndexLifetime {
+		return x
 	}
-	r.builtAt, r.outdated = s.now, false
-	if hosts := s.listEntryHosts(); r.generation == 0 || !slices.Equal(hosts, r.hosts) {
-		r.replace(hosts)
+	x.builtAt, x.outdated = s.now, false
+	if hosts := s.listEntryHosts(); x.generation == 0 || !slices.Equal(hosts, x.hosts) {
+		x.replace(hosts)
 	}
-	return r
+	return x
 }
 
-func (r *roster) replace(hosts []router.Host) {
-	r.generation++
-	r.hosts, r.all, r.byDomain = hosts, make([]identifier.HostID, 0, len(hosts)), map[identifier.DomainID][]identifier.HostID{}
+func (x *entryHostIndex) replace(hosts []router.Host) {
+	x.generation++
+	x.hosts, x.all, x.byDomain = hosts, make([]identifier.HostID, 0, len(hosts)), map[identifier.DomainID][]identifier.HostID{}
 	for _, h := range hosts {
-		r.all = append(r.all, h.ID)
-		r.byDomain[h.Domain] = append(r.byDomain[h.Domain], h.ID)
+		x.all = append(x.all, h.ID)
+		x.byDomain[h.Domain] = append(x.byDomain[h.Domain], h.ID)
 	}
-	slices.Sort(r.all)
-	for _, ids := range r.byDomain {
+	slices.Sort(x.all)
+	for _, ids := range x.byDomain {
 		slices.Sort(ids)
 	}
 }
 
 // position returns the position of a host in the domain.
-func (r *roster) position(id identifier.HostID, domain identifier.DomainID) HostPosition {
-	all, _ := slices.BinarySearch(r.all, id)
-	local, _ := slices.BinarySearch(r.byDomain[domain], id)
+func (x *entryHostIndex) position(id identifier.HostID, domain identifier.DomainID) HostPosition {
+	all, _ := slices.BinarySearch(x.all, id)
+	local, _ := slices.BinarySearch(x.byDomain[domain], id)
 	return HostPosition{Local: local, All: all}
 }
 
 // counts returns the counts of entry hosts for a host in the domain.
-func (r *roster) counts(domain identifier.DomainID) HostCounts {
-	local := len(r.byDomain[domain])
-	return HostCounts{Local: max(1, local), Remote: len(r.all) - local}
+func (x *entryHostIndex) counts(domain identifier.DomainID) HostCounts {
+	local := len(x.byDomain[domain])
+	return HostCounts{Local: max(1, local), Remote: len(x.all) - local}
 }
 
 // delegates returns the entry hosts of remote failure domains that gather parts for a subscriber. Rendezvous hashing
 // spreads the subscribers over them.
-func (r *roster) delegates(id identifier.HostID, to *poller) []router.Host {
+func (x *entryHostIndex) delegates(id identifier.HostID, to *poller) []router.Host {
 	if !to.subscribed {
 		return nil
 	}
-	if to.delegatesFrom != r.generation {
-		to.delegates = router.RemoteHosts(id, to.domain, r.hosts, DelegatesPerDomain)
-		to.delegatesFrom = r.generation
+	if to.delegatesFrom != x.generation {
+		to.delegates = router.RemoteHosts(id, to.domain, x.hosts, DelegatesPerDomain)
+		to.delegatesFrom = x.generation
 	}
 	return to.delegates
 }
@@ -79,7 +79,7 @@
 // allEntryHosts returns the entry hosts of the deployment that this host knows of. Until this host is synchronized,
 // they include the hosts in the restored snapshot.
 func (s *State) allEntryHosts() []router.Host {
-	return s.roster().hosts
+	return s.entryHosts().hosts
 }
 
 func (s *State) listEntryHosts() []router.Host {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -181,7 +181,7 @@
 		s.recordWithdrawal(e.Server)
 	case SubscribersSent:
 		s.control.serverList.peerSubscribers[e.From] = e.Subscribers
-		s.control.serverList.roster.outdated = true
+		s.control.serverList.entryHosts.outdated = true
 	case SeedsChanged:
 		s.changeSeeds(e)
 	case ServersMeasured:
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -25,9 +25,9 @@
 	// A hedge is sent hedgeLeadFactor typical latencies plus hedgeSlack before its answer is
 	// due: one attempt in twenty exceeds the typical latency, and the network adds to it.
 	hedgeLeadFactor = 1.5
+	hedgeSlack      = 4 * identifier.Millisecond
 	// minHedgedAttempts is from how many attempts on their answers tell a late one from a request that is late as a whole.
 	minHedgedAttempts = 4
-	hedgeSlack        = 4 * identifier.Millisecond
 	// unmeasuredLatencyDivisor divides the target latency to estimate the typical latency of a
 	// service without measurements.
 	unmeasuredLatencyDivisor = 3
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -234,7 +234,7 @@
 	subscribed bool
 	// wholeSent is when the whole list was last sent, unless it may have been lost since.
 	wholeSent identifier.Instant
-	// delegates are the host's delegates among the hosts of the roster's generation delegatesFrom.
+	// delegates are the host's delegates of generation delegatesFrom of the entry hosts.
 	delegates     []router.Host
 	delegatesFrom uint64
 }
@@ -256,7 +256,7 @@
 	notificationDue bool
 	// peerSubscribers are the subscribers of the other control hosts.
 	peerSubscribers map[identifier.HostID][]router.Host
-	roster          roster
+	entryHosts      entryHostIndex
 	// sentSubscribers is the list of subscribers last sent to the other control hosts, and
 	// sentSubscribersAt is when.
 	sentSubscribers   []router.Host
@@ -423,6 +423,7 @@
 	for id, l := range sl.servers {
 		if l.Standing != Present && now.Since(l.changed) > GoneServerRetention {
 			delete(sl.servers, id)
+			delete(sl.restoredServers, id)
 			sl.whole = serverChanges{}
 			sl.assessor.Remove(id)
 			sl.vacate(l.Announcement.Address, id)
@@ -553,7 +554,7 @@
 		s.sendCrashes(e.Host)
 	}
 	if e.Subscribes != p.subscribed || s.now.Since(p.lastSeen) >= PollTimeout {
-		s.control.serverList.roster.outdated = true
+		s.control.serverList.entryHosts.outdated = true
 	}
 	p.lastSeen = s.now
 	p.subscribed = e.Subscribes
@@ -593,11 +594,11 @@
 
 // topologyFor returns the topology for a poller, or nil if the poller knows it.
 func (s *State) topologyFor(id identifier.HostID, to *poller) *Topology {
-	roster := s.roster()
+	entryHosts := s.entryHosts()
 	topology := Topology{
 		ControlHosts: append(s.otherControlHosts(), s.control.self),
-		HostCounts:   roster.counts(to.domain),
-		Delegates:    roster.delegates(id, to),
+		HostCounts:   entryHosts.counts(to.domain),
+		Delegates:    entryHosts.delegates(id, to),
 	}
 	digest := topology.digest()
 	if digest == to.topology {
@@ -609,16 +610,16 @@
 
 // sendServerList sends a poller the changes that it does not hold yet.
 func (s *State) sendServerList(id identifier.HostID, to *poller) {
-	roster := s.roster()
+	entryHosts := s.entryHosts()
 	sl := &s.control.serverList
 	message := ServerListSent{
 		From:         s.parameters.Host,
 		InTouch:      s.inTouch(),
 		Synchronized: s.control.synchronized,
 		Source:       s.control.replicated.source.sourceAfter(to.version),
-		Lending:      s.lending(len(roster.hosts)),
+		Lending:      s.lending(len(entryHosts.hosts)),
 		Proof:        s.proofFor(id),
-		Place:        roster.position(id, to.domain),
+		Place:        entryHosts.position(id, to.domain),
 		Evacuations:  sl.evacuations.after(to.evacuations),
 	}
 	var changes serverChanges
@@ -662,7 +663,7 @@
 	for _, id := range sortedKeys(s.control.serverList.pollers) {
 		p := s.control.serverList.pollers[id]
 		if s.now.Since(p.lastSeen) < PollerRetention {
-			if p.subscribed {
+			if p.subscribed && !s.awaitsWhole(p) {
 				s.sendServerList(id, p)
 			}
 			continue
--- a/pkg/reducer/wholelist_test.go
+++ b/pkg/reducer/wholelist_test.go
@@ -28,11 +28,14 @@
 		asked []identifier.Micros
 		// disconnected is when the connection to the host ends; 0 if it doesn't.
 		disconnected identifier.Micros
-		lists        int
+		// changed is when a subscriber is to be notified of another server; 0 if there is none.
+		changed identifier.Micros
+		lists   int
 	}{
-		{"is sent once to a host that asks again", []identifier.Micros{0, 300 * identifier.Millisecond, 600 * identifier.Millisecond, 900 * identifier.Millisecond}, 0, 1},
-		{"is sent again after the time in which it must have arrived", []identifier.Micros{0, 300 * identifier.Millisecond, 1100 * identifier.Millisecond, 1400 * identifier.Millisecond}, 0, 2},
-		{"is sent again if it may have been lost", []identifier.Micros{0, 300 * identifier.Millisecond, 600 * identifier.Millisecond}, 200 * identifier.Millisecond, 2},
+		{"is sent once to a host that asks again", []identifier.Micros{0, 300 * identifier.Millisecond, 600 * identifier.Millisecond, 900 * identifier.Millisecond}, 0, 0, 1},
+		{"is sent again after the time in which it must have arrived", []identifier.Micros{0, 300 * identifier.Millisecond, 1100 * identifier.Millisecond, 1400 * identifier.Millisecond}, 0, 0, 2},
+		{"is sent again if it may have been lost", []identifier.Micros{0, 300 * identifier.Millisecond, 600 * identifier.Millisecond}, 200 * identifier.Millisecond, 0, 2},
+		{"isn't repeated by a change meanwhile", []identifier.Micros{0, 300 * identifier.Millisecond}, 0, 350 * identifier.Millisecond, 1},
 	} {
 		ginkgo.It(c.name, func() {
 			f := fleetWithRestartedControlHost()
@@ -48,12 +51,17 @@
 			}
 			for _, at := range c.asked {
 				f.schedule(f.now.Add(at), func() {
-					f.reduce(controlName(0), reducer.ServerListRequested{Host: asking, Domain: domain(0)})
+					f.reduce(controlName(0), reducer.ServerListRequested{Host: asking, Domain: domain(0), Subscribes: c.changed > 0})
 				})
 			}
 			if c.disconnected > 0 {
 				f.schedule(f.now.Add(c.disconnected), func() { f.reduce(controlName(0), reducer.PeerDisconnected{Host: asking}) })
 			}
+			if c.changed > 0 {
+				f.schedule(f.now.Add(c.changed), func() {
+					f.reduce(controlName(0), reducer.ServerAnnounced{Announcement: announcement("s-2", 1, 1)})
+				})
+			}
 			f.run(2 * identifier.Second)
 			gomega.Expect(lists).To(gomega.Equal(c.lists))
 		})
