--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -256,7 +256,8 @@
 	for _, i := range pieces {
 		p := &q.pieces[i]
 		message.Services = append(message.Services, p.service)
-		typical = max(typical, s.expectedLatency(q, p.service))
+		_, high := s.traffic.service(p.service).hedger.TypicalLatency(q.rank)
+		typical = max(typical, high)
 		p.openAttempts++
 		p.sent++
 		p.arrivals++
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -347,18 +347,8 @@
 	if !q.route.Repeatable || q.probing || len(q.pieces[a.piece].tried) > 0 {
 		return identifier.Never
 	}
-	return s.hedgeTimeFor(q, s.expectedLatency(q, a.service))
-}
-
-// expectedLatency returns the typical latency of a service for a request; 0 if nothing was measured. Among hundreds of
-// hosts, one measures a single service for minutes before it knows its latency; all services of the route together
-// tell it after one request.
-func (s *State) expectedLatency(q *request, service identifier.ServiceID) identifier.Micros {
-	_, typical := s.traffic.service(service).hedger.TypicalLatency(q.rank)
-	if typical == 0 && len(q.route.Shards) > 0 {
-		_, typical = s.traffic.routeLatencies(q.route.ID).TypicalLatency(q.rank)
-	}
-	return typical
+	_, typical := s.traffic.service(a.service).hedger.TypicalLatency(q.rank)
+	return s.hedgeTimeFor(q, typical)
 }
 
 // sendHedges sends the hedges of attempts and delegations that are due.
@@ -389,7 +379,10 @@
 // nothing on the request's route, and most of its attempts have no answer yet. All of them wait for the same reason then,
 // such as new connections, and their hedges would use up the extra attempts of all services at once.
 func (s *State) awaitsMeasurements(q *request) bool {
-	if len(q.attempts) < minHedgedAttempts || s.now >= q.answerAt || s.expectedLatency(q, q.pieces[0].service) > 0 {
+	if len(q.attempts) < minHedgedAttempts || s.now >= q.answerAt {
+		return false
+	}
+	if _, measured := s.traffic.routeLatencies(q.route.ID).TypicalLatency(q.rank); measured > 0 {
 		return false
 	}
 	open := 0
