review: a cold server gets its usual load while a control host is frozen

Entry hosts learn from announcements only that a running server is cold again, and never ask its health path. If the control host that the server announces itself to is frozen, the server gets 44 requests in the next second; its bound is 20.

--- a/review/rig-2/backend.go
+++ b/review/rig-2/backend.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,14 +46,17 @@
 	// sheds is set while the server sheds a part of its requests.
 	sheds atomic.Bool
 
-	mutex    sync.Mutex
-	id       string
-	born     int64
-	program  *http.Server
-	listener net.Listener
-	ended    chan struct{}
-	running  atomic.Int64
-	slot     chan struct{}
+	mutex sync.Mutex
+	id    string
+	// coldUntil is when the server is warm again, and changed wakes the goroutine that announces it.
+	coldUntil time.Time
+	changed   chan struct{}
+	born      int64
+	program   *http.Server
+	listener  net.Listener
+	ended     chan struct{}
+	running   atomic.Int64
+	slot      chan struct{}
 }
 
 var serverNumber atomic.Int64
@@ -63,7 +67,7 @@
 
 // add starts a server.
 func (s *backends) add(service, zone, ip string, slots int) error {
-	b := &backend{parent: s, service: service, zone: zone, address: fmt.Sprintf("%s:%d", ip, serverPort), slots: slots}
+	b := &backend{parent: s, service: service, zone: zone, address: fmt.Sprintf("%s:%d", ip, serverPort), slots: slots, changed: make(chan struct{}, 1)}
 	s.servers = append(s.servers, b)
 	return b.start()
 }
@@ -88,6 +92,15 @@
 	return nil
 }
 
+// becomeCold makes the server cold for a while. It announces that at once.
+func (b *backend) becomeCold(d time.Duration) {
+	b.mutex.Lock()
+	b.coldUntil = time.Now().Add(d)
+	b.mutex.Unlock()
+	b.changed <- struct{}{}
+	b.parent.record.printf("server %s becomes cold", b.currentID())
+}
+
 func (b *backend) currentID() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -117,6 +130,7 @@
 			return
 		case <-ended:
 			return
+		case <-b.changed:
 		case <-time.After(heartbeatTime):
 		}
 	}
@@ -124,10 +138,10 @@
 
 func (b *backend) announce(target, id string, seq int) (string, bool) {
 	b.mutex.Lock()
-	born := b.born
+	born, left := b.born, max(0, time.Until(b.coldUntil).Milliseconds())
 	b.mutex.Unlock()
-	body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftMs":0,"seq":%d,"born":%d}`,
-		b.service, b.address, b.zone, b.slots, seq, born)
+	body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftMs":%d,"seq":%d,"born":%d}`,
+		b.service, b.address, b.zone, b.slots, left, seq, born)
 	status, _, content, err := call(time.Second, "PUT", "http://"+target+"/instances/"+id, body, map[string]string{"Content-Type": "application/json"})
 	if err != nil || status != http.StatusOK {
 		return "", false
@@ -150,6 +164,13 @@
 		return
 	default:
 	}
+	if r.URL.Path == "/health" {
+		b.mutex.Lock()
+		w.Header().Set("X-Warmup-Ms", strconv.FormatInt(max(0, time.Until(b.coldUntil).Milliseconds()), 10))
+		b.mutex.Unlock()
+		w.Header().Set("X-Instance-Id", id)
+		return
+	}
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
 	w.Header().Set("Keep-Alive", "timeout=5")
