review: number the cases by gravity, drop the one of cold servers

The cases of the evacuation, of the server that reads late and of the silent crashes are 7, 8 and 10 from here on.

--- a/review/rig-2/backend.go
+++ b/review/rig-2/backend.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,18 +44,17 @@
 	starts                 int
 	// sheds is set while the server sheds a part of its requests.
 	sheds atomic.Bool
+	// silent is set while the server announces nothing.
+	silent atomic.Bool
 
-	mutex sync.Mutex
-	id    string
-	// coldUntil is when the server is warm again, and changed wakes the goroutine that announces it.
-	coldUntil time.Time
-	changed   chan struct{}
-	born      int64
-	program   *http.Server
-	listener  net.Listener
-	ended     chan struct{}
-	running   atomic.Int64
-	slot      chan struct{}
+	mutex    sync.Mutex
+	id       string
+	born     int64
+	program  *http.Server
+	listener net.Listener
+	ended    chan struct{}
+	running  atomic.Int64
+	slot     chan struct{}
 }
 
 var serverNumber atomic.Int64
@@ -67,13 +65,13 @@
 
 // add starts a server.
 func (s *backends) add(service, zone, ip string, slots int) error {
-	b := &backend{parent: s, service: service, zone: zone, address: fmt.Sprintf("%s:%d", ip, serverPort), slots: slots, changed: make(chan struct{}, 1)}
+	b := &backend{parent: s, service: service, zone: zone, address: fmt.Sprintf("%s:%d", ip, serverPort), slots: slots}
 	s.servers = append(s.servers, b)
-	return b.start()
+	return b.start("")
 }
 
-// start starts the server as a new incarnation with a new ID.
-func (b *backend) start() error {
+// start starts the server as a new incarnation, under a new ID unless it is given one.
+func (b *backend) start(id string) error {
 	l, err := net.Listen("tcp", b.address)
 	if err != nil {
 		return err
@@ -81,26 +79,20 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.starts++
-	b.id = fmt.Sprintf("i-%s-%s-%d", b.service, strings.TrimPrefix(b.zone, "zone-"), serverNumber.Add(1))
+	if b.id = id; id == "" {
+		b.id = fmt.Sprintf("i-%s-%s-%d", b.service, strings.TrimPrefix(b.zone, "zone-"), serverNumber.Add(1))
+	}
 	b.born = time.Now().UnixMilli()
 	b.slot = make(chan struct{}, b.slots)
 	b.program, b.listener = &http.Server{Handler: b, IdleTimeout: 5 * time.Second}, l
 	b.ended = make(chan struct{})
-	program, ended, id := b.program, b.ended, b.id
+	program, ended := b.program, b.ended
+	id = b.id
 	go func() { _ = program.Serve(l) }()
 	b.parent.group.Go(func() { b.beat(id, ended) })
 	return nil
 }
 
-// becomeCold makes the server cold for a while. It announces that at once.
-func (b *backend) becomeCold(d time.Duration) {
-	b.mutex.Lock()
-	b.coldUntil = time.Now().Add(d)
-	b.mutex.Unlock()
-	b.changed <- struct{}{}
-	b.parent.record.printf("server %s becomes cold", b.currentID())
-}
-
 func (b *backend) currentID() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -113,6 +105,9 @@
 	next := int(serverNumber.Load()) % len(b.parent.controls)
 	for seq := 1; ; seq++ {
 		for range 2 * len(b.parent.controls) {
+			if b.silent.Load() {
+				break
+			}
 			target := address
 			if target == "" {
 				target = b.parent.controls[next%len(b.parent.controls)]
@@ -130,7 +125,6 @@
 			return
 		case <-ended:
 			return
-		case <-b.changed:
 		case <-time.After(heartbeatTime):
 		}
 	}
@@ -138,10 +132,10 @@
 
 func (b *backend) announce(target, id string, seq int) (string, bool) {
 	b.mutex.Lock()
-	born, left := b.born, max(0, time.Until(b.coldUntil).Milliseconds())
+	born := b.born
 	b.mutex.Unlock()
-	body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftMs":%d,"seq":%d,"born":%d}`,
-		b.service, b.address, b.zone, b.slots, left, seq, born)
+	body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftMs":0,"seq":%d,"born":%d}`,
+		b.service, b.address, b.zone, b.slots, seq, born)
 	status, _, content, err := call(time.Second, "PUT", "http://"+target+"/instances/"+id, body, map[string]string{"Content-Type": "application/json"})
 	if err != nil || status != http.StatusOK {
 		return "", false
@@ -165,9 +159,6 @@
 	default:
 	}
 	if r.URL.Path == "/health" {
-		b.mutex.Lock()
-		w.Header().Set("X-Warmup-Ms", strconv.FormatInt(max(0, time.Until(b.coldUntil).Milliseconds()), 10))
-		b.mutex.Unlock()
 		w.Header().Set("X-Instance-Id", id)
 		return
 	}
@@ -258,7 +249,7 @@
 		case <-time.After(down):
 		}
 		_ = program.Close()
-		if err := b.start(); err == nil {
+		if err := b.start(""); err == nil {
 			b.parent.record.printf("server at %s is back as %s", b.address, b.currentID())
 		}
 	})
--- a/review/rig-2/config.go
+++ b/review/rig-2/config.go
@@ -17,8 +17,6 @@
 	name, prefix, kind       string
 	timeout, target, minimum string
 	services                 []string
-	// cold is how many requests a second a cold server of the services takes; 0 sets no limit.
-	cold int
 }
 
 func (x route) json() string {
@@ -30,14 +28,6 @@
 		x.name, hostname, x.prefix, x.kind, x.timeout, x.target, where)
 }
 
-// warmUp returns the fields of a service with a limit for cold servers.
-func (x route) warmUp() string {
-	if x.cold == 0 {
-		return ""
-	}
-	return fmt.Sprintf(`,"warmupS":10,"warmupPerS":%d`, x.cold)
-}
-
 // configuration returns a complete configuration with further fields at its end.
 func configuration(version int, routes []route, more string) string {
 	var list, services []string
@@ -47,7 +37,7 @@
 		for _, s := range x.services {
 			if !seen[s] {
 				seen[s] = true
-				services = append(services, fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConns":96,"protocol":"h1","tls":false%s}`, s, x.warmUp()))
+				services = append(services, fmt.Sprintf(`{"name":%q,"healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}`, s))
 			}
 		}
 	}
