pkg/reducer: drop orders about evacuations whose operators have gone

Cause: the order's base is read when the order is handled, so a copy that is handled late has the newest base and counts as a new order. What was ruled out: neither a freeze, nor a follower, nor the command in the log is needed; the same shows without a freeze, behind a relay that holds the order back.

Change: the control state reads the base, asks 100 ms later whether the sender still waits, and only then proposes the order on that base. If the sender gave up before the read, the check finds its connection closed; if later, another order has changed the base. The check asks the kernel for the state of the connection. Orders received over a second ago are dropped at once.

--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -39,6 +39,8 @@
 		h.pendingRecords.put(e)
 	case reducer.StoreServerList:
 		h.pendingServerLists.put(e)
+	case reducer.ConfirmCaller:
+		h.Deliver(reducer.CallerConfirmed{Ticket: e.Ticket, Waiting: h.operations.isWaiting(e.Ticket)})
 	case reducer.ReplyOperator:
 		h.operations.resolve(e.Ticket, e)
 	case reducer.Exchange:
--- a/internal/executor/requests.go
+++ b/internal/executor/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/lagooncleat/lagooncleat/internal/ranger"
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
@@ -59,10 +60,13 @@
 }
 
 // Evacuate commits an operator's order to begin or end the evacuation of a failure domain. If the context ends
-// first, it returns the context's error, and the order may have been accepted.
+// first, it returns the context's error, and the order may have been accepted. An order whose sender has gone by the
+// time it is handled is dropped.
 func (h *Host) Evacuate(ctx context.Context, domain identifier.DomainID, ended bool) (reducer.ReplyOperator, error) {
 	ticket := h.newTicket()
-	return h.runOperation(ctx, ticket, reducer.EvacuationRequested{Ticket: ticket, Domain: domain, Ended: ended})
+	return h.runOperation(ctx, ticket, reducer.EvacuationRequested{
+		Ticket: ticket, Domain: domain, Ended: ended, Age: ranger.Age(ctx),
+	})
 }
 
 // Declaration performs a linearizable read of the declaration. It returns the context's
--- a/internal/executor/waiters.go
+++ b/internal/executor/waiters.go
@@ -3,17 +3,25 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/lagooncleat/lagooncleat/internal/ranger"
 )
 
 // waiters passes results to the goroutines that wait for them, by key. It is safe for
 // concurrent use.
 type waiters[K comparable, V any] struct {
-	mutex    sync.Mutex
-	channels map[K]chan V
+	mutex   sync.Mutex
+	waiting map[K]waiter[V]
+}
+
+// waiter is a goroutine that waits for a result until its context ends.
+type waiter[V any] struct {
+	context context.Context
+	result  chan V
 }
 
 func newWaiters[K comparable, V any]() *waiters[K, V] {
-	return &waiters[K, V]{channels: map[K]chan V{}}
+	return &waiters[K, V]{waiting: map[K]waiter[V]{}}
 }
 
 // sendAndWait calls send, which must lead to a resolve call for the key, and returns the
@@ -21,7 +29,7 @@
 func (w *waiters[K, V]) sendAndWait(ctx context.Context, key K, send func()) (V, error) {
 	result := make(chan V, 1)
 	w.mutex.Lock()
-	w.channels[key] = result
+	w.waiting[key] = waiter[V]{ctx, result}
 	w.mutex.Unlock()
 	send()
 	select {
@@ -41,18 +49,26 @@
 	}
 }
 
+// isWaiting reports whether a goroutine waits for the key and the connection of its context is open.
+func (w *waiters[K, V]) isWaiting(key K) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	x, ok := w.waiting[key]
+	return ok && x.context.Err() == nil && !ranger.Closed(x.context)
+}
+
 // count returns the number of waiting goroutines.
 func (w *waiters[K, V]) count() int {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return len(w.channels)
+	return len(w.waiting)
 }
 
 // remove removes a key and returns its channel, or nil if nothing waits for the key.
 func (w *waiters[K, V]) remove(key K) chan V {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	c := w.channels[key]
-	delete(w.channels, key)
+	c := w.waiting[key].result
+	delete(w.waiting, key)
 	return c
 }
--- a/pkg/reducer/evacuation.go
+++ b/pkg/reducer/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 )
@@ -54,6 +55,8 @@
 	Domain identifier.DomainID
 	// Ended is set to end the evacuation.
 	Ended bool
+	// Age is how long ago the order was received, as far as the host knows.
+	Age identifier.Micros
 }
 
 // RecordedEvacuation is the last order about a domain in the replicated state.
@@ -129,29 +132,57 @@
 
 func (evacuationOrigin) isOrigin() {}
 
+// evacuationOrder is an operator's order whose base was read.
+type evacuationOrder struct {
+	evacuationOrigin
+	base EvacuationRevision
+}
+
+func (evacuationOrder) isOrder() {}
+
 // orderEvacuation reads the base of an operator's order through the leader, which this host may be behind.
 func (s *State) orderEvacuation(e EvacuationRequested) {
 	if answer := s.checkDomain(e.Domain); answer != nil {
 		s.emit(ReplyOperator{Ticket: e.Ticket, Reply: answer, Control: s.controlStatus()})
 		return
 	}
-	deadline := s.now.Add(EvacuationTimeout)
+	if isLate(e.Age) {
+		s.dropEvacuation(e)
+		return
+	}
+	deadline := s.now.Add(EvacuationTimeout - e.Age)
 	s.startOperation(EvacuationRead{Domain: e.Domain}, evacuationOrigin{e, deadline}, deadline)
 }
 
-// proposeEvacuation proposes an order whose base was read. It is proposed even if it changes nothing, so that
-// late copies of earlier orders have no effect. If another order is committed meanwhile, the two were sent at
-// the same time and that one counts as the later one.
-func (s *State) proposeEvacuation(o evacuationOrigin, a Answer) {
+// receiveEvacuationBase checks that the sender of an order whose base was read still waits.
+func (s *State) receiveEvacuationBase(o evacuationOrigin, a Answer) {
 	found, ok := a.(EvacuationFound)
-	if !ok || s.now >= o.deadline {
+	if !ok {
 		s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
 		return
 	}
-	s.startOperation(Proposal{Command: EvacuationOrdered{Domain: o.order.Domain, Ended: o.order.Ended, Base: found.Revision}},
+	s.confirmCaller(o.order.Ticket, evacuationOrder{o, found.Revision})
+}
+
+// proposeEvacuation proposes an order whose base was read before its sender was found to wait. It is proposed even if it
+// changes nothing, so that late copies of earlier orders have no effect. If another order is committed meanwhile, the two
+// were sent at the same time and that one counts as the later one.
+func (s *State) proposeEvacuation(o evacuationOrder, waiting bool) {
+	if !waiting || s.now >= o.deadline {
+		s.dropEvacuation(o.order)
+		return
+	}
+	s.startOperation(Proposal{Command: EvacuationOrdered{Domain: o.order.Domain, Ended: o.order.Ended, Base: o.base}},
 		operatorOrigin{o.order.Ticket}, o.deadline)
 }
 
+// dropEvacuation drops an order whose sender has called another host.
+func (s *State) dropEvacuation(e EvacuationRequested) {
+	s.log(ConfigurationSubsystem, Info, "order about a failure domain dropped: its sender has gone",
+		Field{"failure-domain", string(e.Domain)}, Field{"ended", strconv.FormatBool(e.Ended)})
+	s.emit(ReplyOperator{Ticket: e.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+}
+
 // checkDomain returns the answer to an order about a domain that is unknown, or that this host may not know yet;
 // nil if the order may be committed. An evacuated domain is known, so that its evacuation can end.
 func (s *State) checkDomain(id identifier.DomainID) Answer {
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -53,9 +53,11 @@
 	initialImport registrar.Import
 	replicated    replicated
 	operations    operations
-	replication   replication
-	startup       startup
-	pullCount     int
+	// orders are those whose senders have not been checked yet.
+	orders      map[Ticket]order
+	replication replication
+	startup     startup
+	pullCount   int
 	// When this host last received a message from a control host that was in touch with its quorum.
 	lastInTouch identifier.Instant
 	status      ControlStatus
@@ -97,6 +99,7 @@
 		catalog:      registrar.NewCatalog(),
 		replicated:   newReplicated(),
 		operations:   newOperations(),
+		orders:       map[Ticket]order{},
 		replication:  newReplication(),
 		clockOffsets: map[identifier.HostID]clockOffset{},
 		serverList:   newServerList(window),
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -187,6 +187,8 @@
 		s.followRedirect(e)
 	case OperationAnswered:
 		s.completeOperation(e)
+	case CallerConfirmed:
+		s.receiveCaller(e)
 	case MembersRequested:
 		s.startOperation(e.Operation, operatorOrigin{e.Ticket}, s.now.Add(MemberTimeout))
 	case IntentRequested:
@@ -370,7 +372,7 @@
 	case proofOrigin:
 		s.finishProof(e.Answer)
 	case evacuationOrigin:
-		s.proposeEvacuation(o, e.Answer)
+		s.receiveEvacuationBase(o, e.Answer)
 	}
 }
 
@@ -387,6 +389,6 @@
 	case proofOrigin:
 		s.finishProof(LeaderMissing{})
 	case evacuationOrigin:
-		s.proposeEvacuation(o, nil)
+		s.receiveEvacuationBase(o, nil)
 	}
 }
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -137,6 +137,8 @@
 		s.proposeImport()
 	case pullDue:
 		s.pull()
+	case callerDue:
+		s.emit(ConfirmCaller{Ticket: t.ticket})
 	case operationDue:
 		s.tryOperation(t.number)
 	case queryDue:
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -44,6 +44,8 @@
 	deferred map[identifier.HostID][]reducer.Event
 	grants   map[reducer.Ticket]reducer.GrantLease
 	replies  map[reducer.Ticket]reducer.ReplyOperator
+	// gone are the tickets of the orders whose senders no longer wait.
+	gone map[reducer.Ticket]bool
 	// outcomes holds the outcome of each client's request.
 	outcomes map[identifier.RequestID]reducer.RequestOutcome
 	ticket   reducer.Ticket
@@ -108,7 +110,7 @@
 		hosts: map[identifier.HostID]*smallFleetHost{}, isolated: map[identifier.HostID]bool{},
 		frozen: map[identifier.HostID]bool{}, deferred: map[identifier.HostID][]reducer.Event{},
 		grants: map[reducer.Ticket]reducer.GrantLease{}, replies: map[reducer.Ticket]reducer.ReplyOperator{},
-		outcomes: map[identifier.RequestID]reducer.RequestOutcome{},
+		outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, gone: map[reducer.Ticket]bool{},
 	}
 	seeds := []identifier.HostID{controlName(0), controlName(1), controlName(2)}
 	for i := range 3 {
@@ -251,6 +253,12 @@
 			})
 		case reducer.GrantLease:
 			f.grants[e.Ticket] = e
+		case reducer.ConfirmCaller:
+			f.schedule(f.now, func() {
+				if h.state == state {
+					f.reduce(id, reducer.CallerConfirmed{Ticket: e.Ticket, Waiting: !f.gone[e.Ticket]})
+				}
+			})
 		case reducer.ReplyOperator:
 			f.replies[e.Ticket] = e
 		case reducer.ReplyRequest:
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -22,6 +22,8 @@
 	startupDue struct{}
 	// pullDue makes control request a newer configuration.
 	pullDue struct{}
+	// callerDue checks that the sender of an order still waits.
+	callerDue struct{ ticket Ticket }
 	// operationDue retries an operation.
 	operationDue struct{ number OperationNumber }
 	// queryDue ends a query at its deadline.
@@ -88,6 +90,7 @@
 func (estimateDue) isTimer()       {}
 func (startupDue) isTimer()        {}
 func (pullDue) isTimer()           {}
+func (callerDue) isTimer()         {}
 func (operationDue) isTimer()      {}
 func (replicationDue) isTimer()    {}
 func (notificationDue) isTimer()   {}
