pkg/reducer: name the incarnation of a withdrawal, and drop it if its sender has gone

The servers withdrew, first at a frozen control host and then at one that acknowledged, and started again under their IDs before the first one woke.

Cause: a withdrawal names no incarnation. The host took the one that it knew when it handled the message, and so did each host that the ID was relayed to. Ruled out as causes: the freeze and the number of servers; one server behind a slow link shows the same.

While the sender waits, no later one has started. A host that knows no incarnation declines, after the delay if it is not synchronized yet. A relay of an earlier version names no incarnation and is ignored: the log brings the departure.

--- a/cmd/lagooncleat/late_order_test.go
+++ b/cmd/lagooncleat/late_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -75,3 +76,65 @@
 		})
 	}
 })
+
+// Guards against withdrawals that end the next incarnation of the server that sent them.
+var _ = ginkgo.Describe("a late copy of a server's withdrawal", func() {
+	for i, c := range []struct {
+		name string
+		// frozen is set if the host is frozen; otherwise the link to it is slow.
+		frozen bool
+	}{
+		{"does not end the server that has started again under its ID, from a frozen host", true},
+		{"does not end the server that has started again under its ID, from a slow link", false},
+	} {
+		ginkgo.It(c.name, func() {
+			const downtime, settlingTime = time.Second, time.Second
+			s := newSoak(104+i, 1)
+			gomega.Eventually(func() bool { return s.declare(1) }, waitLimit, "100ms").Should(gomega.BeTrue())
+			attempt := 0
+			answered := func() bool { attempt++; return s.allAnswerInFull(attempt) }
+			gomega.Eventually(answered, waitLimit, "100ms").Should(gomega.BeTrue())
+			slow := s.host(0)
+			link, err := relayer.New(relayer.Parameters{Target: identifier.Address(slow.address(soakControlPort))})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			ginkgo.DeferCleanup(link.Close)
+			if c.frozen {
+				slow.session.Signal(syscall.SIGSTOP)
+				time.Sleep(settlingTime)
+			} else {
+				link.SetCondition(relayer.Stalled{Forward: true})
+			}
+			var calls sync.WaitGroup
+			for shard := range imitator.Shards {
+				calls.Go(func() { s.servers.Withdraw(shard, 1, string(link.Address())) })
+			}
+			calls.Wait()
+			for shard := range imitator.Shards {
+				gomega.Eventually(func() bool {
+					return s.servers.Withdraw(shard, 1, s.host(1).address(soakControlPort))
+				}, waitLimit, "100ms").Should(gomega.BeTrue())
+			}
+			time.Sleep(downtime)
+			for shard := range imitator.Shards {
+				s.servers.Restart(shard, 1)
+			}
+			time.Sleep(settlingTime)
+			slow.session.Signal(syscall.SIGCONT)
+			link.SetCondition(relayer.Forwarding{})
+			time.Sleep(settlingTime)
+			arrived := 0
+			for shard := range imitator.Shards {
+				gomega.Expect(s.servers.SetFault(shard, 1, imitator.Healthy)).To(gomega.Succeed())
+			}
+			for n := range 100 {
+				s.search(1, imitator.Domains+n%imitator.Domains, fmt.Sprintf("withdrawn-%d-%d", i, n))
+				time.Sleep(10 * time.Millisecond)
+			}
+			for shard := range imitator.Shards {
+				arrived += len(s.servers.Arrivals(shard, 1))
+			}
+			gomega.Expect(arrived).To(gomega.BeNumerically(">", 0))
+			gomega.Expect(s.violations).To(gomega.BeEmpty())
+		})
+	}
+})
--- a/internal/encoder/growth.go
+++ b/internal/encoder/growth.go
@@ -26,6 +26,7 @@
 	{reducer.PartsDelivered{}, 8},
 	{reducer.Payload{}, 4},
 	{reducer.ListedServer{}, 5},
+	{reducer.WithdrawalRelayed{}, 1},
 	{reducer.ServersMeasured{}, 3},
 	{reducer.Measurement{}, 2},
 	{assessor.Tally{}, 3},
--- a/internal/encoder/growth_test.go
+++ b/internal/encoder/growth_test.go
@@ -52,6 +52,13 @@
 		})
 	}
 
+	ginkgo.It("names no incarnation in a withdrawal that an earlier version relays", func() {
+		tag, _ := encoder.Encode(reducer.WithdrawalRelayed{})
+		event, err := encoder.Decode(append(tag[:1:1], fields("s-1")...))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(event).To(gomega.Equal(reducer.WithdrawalRelayed{Server: "s-1"}))
+	})
+
 	ginkgo.It("is read from what an earlier version has stored", func() {
 		empty, source := []any{}, []any{3, []byte("x")}
 		snapshot, err := encoder.DecodeSnapshot(fields(9, 2, empty, []any{empty, empty, source, empty}))
--- a/internal/executor/effect.go
+++ b/internal/executor/effect.go
@@ -40,7 +40,7 @@
 	case reducer.StoreServerList:
 		h.pendingServerLists.put(e)
 	case reducer.ConfirmCaller:
-		h.Deliver(reducer.CallerConfirmed{Ticket: e.Ticket, Waiting: h.operations.isWaiting(e.Ticket)})
+		h.Deliver(reducer.CallerConfirmed{Ticket: e.Ticket, Waiting: h.operations.isWaiting(e.Ticket) || h.leases.isWaiting(e.Ticket)})
 	case reducer.ReplyOperator:
 		h.operations.resolve(e.Ticket, e)
 	case reducer.Exchange:
--- a/internal/executor/requests.go
+++ b/internal/executor/requests.go
@@ -44,11 +44,11 @@
 }
 
 // Withdraw removes a leaving backend server from the server list. It returns the context's
-// error if the context ends first.
+// error if the context ends first. A withdrawal whose sender has gone by the time it is handled is dropped.
 func (h *Host) Withdraw(ctx context.Context, server identifier.ServerID) (Lease, error) {
 	ticket := h.newTicket()
 	return h.leases.sendAndWait(ctx, ticket, func() {
-		h.Deliver(reducer.ServerWithdrawn{Ticket: ticket, Server: server})
+		h.Deliver(reducer.ServerWithdrawn{Ticket: ticket, Server: server, Age: ranger.Age(ctx)})
 	})
 }
 
--- a/pkg/reducer/confirmation.go
+++ b/pkg/reducer/confirmation.go
@@ -43,6 +43,15 @@
 	s.schedule(s.now.Add(CallerCheckDelay), callerDue{t})
 }
 
+// checkCaller asks whether the sender of an order still waits.
+func (s *State) checkCaller(t Ticket) {
+	if o, ok := s.control.orders[t].(withdrawalOrder); ok && !o.known {
+		o.departure, o.known = s.withdrawalOf(o.server)
+		s.control.orders[t] = o
+	}
+	s.emit(ConfirmCaller{Ticket: t})
+}
+
 // receiveCaller executes an order whose sender still waits, and drops it otherwise.
 func (s *State) receiveCaller(e CallerConfirmed) {
 	o, ok := s.control.orders[e.Ticket]
@@ -53,5 +62,7 @@
 	switch o := o.(type) {
 	case evacuationOrder:
 		s.proposeEvacuation(o, e.Waiting)
+	case withdrawalOrder:
+		s.executeWithdrawal(o, e.Waiting)
 	}
 }
--- a/pkg/reducer/departure.go
+++ b/pkg/reducer/departure.go
@@ -247,7 +247,7 @@
 		return
 	}
 	if d.Stage == Departed {
-		s.recordWithdrawal(d.Server)
+		s.recordWithdrawal(server)
 		return
 	}
 	a := server.Announcement
--- a/pkg/reducer/membership.go
+++ b/pkg/reducer/membership.go
@@ -181,7 +181,7 @@
 	case ServerWithdrawn:
 		s.withdraw(e)
 	case WithdrawalRelayed:
-		s.recordWithdrawal(e.Server)
+		s.receiveWithdrawal(e)
 	case SubscribersSent:
 		s.control.serverList.peerSubscribers[e.From] = e.Subscribers
 		s.control.serverList.entryHosts.outdated = true
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -138,7 +138,7 @@
 	case pullDue:
 		s.pull()
 	case callerDue:
-		s.emit(ConfirmCaller{Ticket: t.ticket})
+		s.checkCaller(t.ticket)
 	case operationDue:
 		s.tryOperation(t.number)
 	case queryDue:
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -177,6 +177,8 @@
 		membershipEvent
 		Ticket Ticket
 		Server identifier.ServerID
+		// Age is how long ago the message was received, as far as the host knows.
+		Age identifier.Micros
 	}
 	// SubscribersSent sends the other control hosts the list of the sender's subscribers.
 	SubscribersSent struct {
@@ -188,6 +190,9 @@
 	WithdrawalRelayed struct {
 		membershipEvent
 		Server identifier.ServerID `msgpack:"s"`
+		// Service and Incarnation name the incarnation that has left. Earlier versions don't set them.
+		Service     identifier.ServiceID   `msgpack:"c"`
+		Incarnation identifier.Incarnation `msgpack:"i"`
 	}
 	// SeedsChanged replaces the control hosts that the settings name.
 	SeedsChanged struct {
@@ -706,31 +711,83 @@
 	return displaced
 }
 
-// withdraw handles the shutdown of a server and notifies the other control hosts. A control host that
-// doesn't know the server declines: another one may know it.
+// withdrawalOrder is the withdrawal of a server, with the incarnation that was known when it was received.
+type withdrawalOrder struct {
+	ticket    Ticket
+	server    identifier.ServerID
+	departure Departure
+	// known is set if the host knew the server.
+	known bool
+}
+
+func (withdrawalOrder) isOrder() {}
+
+// withdraw handles the shutdown of a server. A withdrawal names no incarnation: the one that is known now counts if the
+// sender still waits afterwards. A control host that doesn't know the server declines, since another one may know it, unless
+// it has just started and may know it soon.
 func (s *State) withdraw(e ServerWithdrawn) {
-	departure, known := s.withdrawalOf(e.Server)
-	_, control := s.parameters.Duty.(ControlDuty)
-	s.recordWithdrawal(e.Server)
-	s.sendToPeers(WithdrawalRelayed{Server: e.Server})
-	s.acknowledgeDeparture(departure, GrantLease{Ticket: e.Ticket, Declined: (control && !known) || !s.mayAcknowledge()})
+	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
+		s.emit(GrantLease{Ticket: e.Ticket})
+		return
+	}
+	o := withdrawalOrder{ticket: e.Ticket, server: e.Server}
+	o.departure, o.known = s.withdrawalOf(e.Server)
+	if isLate(e.Age) || !o.known && s.control.synchronized {
+		s.declineWithdrawal(o)
+		return
+	}
+	s.confirmCaller(e.Ticket, o)
 }
 
-// recordWithdrawal removes the lease of a server that shuts down and lists it as left.
-func (s *State) recordWithdrawal(id identifier.ServerID) {
-	server, ok := s.control.serverList.servers[id]
-	if !ok {
-		s.log(MembershipSubsystem, Info, "unknown backend server leaves", Field{"server", string(id)})
+// declineWithdrawal leaves it to the sender to withdraw at another control host.
+func (s *State) declineWithdrawal(o withdrawalOrder) {
+	s.log(MembershipSubsystem, Info, "withdrawal of a backend server declined", Field{"server", string(o.server)},
+		Field{"known", strconv.FormatBool(o.known)}, incarnationField(o.departure.Incarnation))
+	s.emit(GrantLease{Ticket: o.ticket, Declined: true})
+}
+
+// executeWithdrawal lists the incarnation of a withdrawal as left, notifies the other control hosts and answers the
+// server once that is committed. It declines if the sender has gone, or the server turns out to have started again.
+func (s *State) executeWithdrawal(o withdrawalOrder, waiting bool) {
+	if !waiting || !o.known || s.startedAgain(o.departure) {
+		s.declineWithdrawal(o)
 		return
 	}
+	s.listDeparture(o.departure)
+	s.sendToPeers(WithdrawalRelayed{Server: o.server, Service: o.departure.Service, Incarnation: o.departure.Incarnation})
+	s.acknowledgeDeparture(o.departure, GrantLease{Ticket: o.ticket, Declined: !s.mayAcknowledge()})
+}
+
+// startedAgain reports whether a later incarnation of the departed server is listed.
+func (s *State) startedAgain(d Departure) bool {
+	server, ok := s.control.serverList.servers[d.Server]
+	return ok && server.Announcement.Service == d.Service && server.Announcement.Incarnation > d.Incarnation
+}
+
+// receiveWithdrawal lists a server as left that withdrew at another control host. Hosts of earlier versions name no
+// incarnation: their withdrawals are listed once they are committed.
+func (s *State) receiveWithdrawal(e WithdrawalRelayed) {
+	if e.Service != "" {
+		s.listDeparture(Departure{Server: e.Server, Service: e.Service, Incarnation: e.Incarnation, Stage: Departed})
+	}
+}
+
+// recordWithdrawal removes the lease of a listed server that shuts down and lists it as left.
+func (s *State) recordWithdrawal(server *ListedServer) {
+	id := server.Announcement.Server
 	if server.Standing != Left {
-		s.log(MembershipSubsystem, Info, "backend server leaves", Field{"server", string(id)})
+		s.log(MembershipSubsystem, Info, "backend server leaves", Field{"server", string(id)},
+			incarnationField(server.Announcement.Incarnation))
 	}
 	s.control.leases.Remove(id)
 	s.publish(id)
 	s.updateListedServer(server.Announcement, Left)
 }
 
+func incarnationField(i identifier.Incarnation) Field {
+	return Field{"incarnation", strconv.FormatUint(uint64(i), 10)}
+}
+
 // mayAcknowledge reports whether this host may acknowledge messages from backend servers: they
 // reach the entry hosts only while this host is connected to the other control hosts.
 func (s *State) mayAcknowledge() bool {
