pkg/reducer: decline a withdrawal where a later incarnation of the server is known

Callers would see: requests at a server past its drain time, although its withdrawal was acknowledged. The control host that acknowledged knew a former incarnation only, since the relay of the later one's announcement was lost, and committed the departure of that one.

Cause: the host that acknowledges names the incarnation from its own list, and announcements are not in the log.

Change: a control host that gets the relay of a withdrawal and lists a later incarnation sends its announcement back. The relay precedes the proposal and connections keep the order, so the announcement arrives before the commit, and the host declines. The server then sends its withdrawal again.

--- a/pkg/reducer/departure.go
+++ b/pkg/reducer/departure.go
@@ -217,7 +217,9 @@
 		s.log(MembershipSubsystem, Warn, "departures of backend servers not committed in time", Field{"servers", formatCount(len(answered))})
 	}
 	for _, p := range answered {
-		p.grant.Declined = !committed
+		// A withdrawal of an incarnation that is no longer the latest may have come from a later one, which then sends
+		// it again.
+		p.grant.Declined = !committed || p.departure.Stage == Departed && s.startedAgain(p.departure)
 		s.emit(p.grant)
 	}
 	s.proposeDepartures()
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -193,6 +193,8 @@
 		// Service and Incarnation name the incarnation that has left. Earlier versions don't set them.
 		Service     identifier.ServiceID   `msgpack:"c"`
 		Incarnation identifier.Incarnation `msgpack:"i"`
+		// From is the relaying host.
+		From identifier.HostID `msgpack:"f"`
 	}
 	// SeedsChanged replaces the control hosts that the settings name.
 	SeedsChanged struct {
@@ -754,7 +756,9 @@
 		return
 	}
 	s.listDeparture(o.departure)
-	s.sendToPeers(WithdrawalRelayed{Server: o.server, Service: o.departure.Service, Incarnation: o.departure.Incarnation})
+	s.sendToPeers(WithdrawalRelayed{
+		Server: o.server, Service: o.departure.Service, Incarnation: o.departure.Incarnation, From: s.parameters.Host,
+	})
 	s.acknowledgeDeparture(o.departure, GrantLease{Ticket: o.ticket, Declined: !s.mayAcknowledge()})
 }
 
@@ -765,11 +769,18 @@
 }
 
 // receiveWithdrawal lists a server as left that withdrew at another control host. Hosts of earlier versions name no
-// incarnation: their withdrawals are listed once they are committed.
+// incarnation: their withdrawals are listed once they are committed. A host that doesn't know the latest incarnation is sent
+// its announcement, which reaches it before this host's answer to the command that records the withdrawal.
 func (s *State) receiveWithdrawal(e WithdrawalRelayed) {
-	if e.Service != "" {
-		s.listDeparture(Departure{Server: e.Server, Service: e.Service, Incarnation: e.Incarnation, Stage: Departed})
+	if e.Service == "" {
+		return
+	}
+	d := Departure{Server: e.Server, Service: e.Service, Incarnation: e.Incarnation, Stage: Departed}
+	if s.startedAgain(d) {
+		s.sendAnnouncements(AnnouncementsWanted{Host: e.From, Servers: []identifier.ServerID{e.Server}})
+		return
 	}
+	s.listDeparture(d)
 }
 
 // recordWithdrawal removes the lease of a listed server that shuts down and lists it as left.
--- a/pkg/reducer/withdrawal_test.go
+++ b/pkg/reducer/withdrawal_test.go
@@ -23,6 +23,19 @@
 	return answered && !grant.Declined
 }
 
+// withdrawWhereOutdated has a server start again, known to one host and the third one only, and withdraw at the host that knows the
+// former incarnation. If that declines, the server withdraws at the one that knows it.
+func withdrawWhereOutdated(outdated, knows int) func(f *smallFleet) {
+	return func(f *smallFleet) {
+		f.isolated[controlName(outdated)] = true
+		f.announce(knows, announcement("s-1", 2, 1))
+		f.isolated[controlName(outdated)] = false
+		if !f.withdrawAt(outdated, "s-1") {
+			gomega.Expect(f.withdrawAt(knows, "s-1")).To(gomega.BeTrue())
+		}
+	}
+}
+
 // Guards against withdrawals that end another incarnation than the one that sent them.
 var _ = ginkgo.Describe("a withdrawal of a backend server", func() {
 	present, gone := map[identifier.ServerID]bool{"s-1": false}, map[identifier.ServerID]bool{}
@@ -94,6 +107,9 @@
 			f.do("heal")
 			f.run(identifier.Second)
 		}, gone},
+		{"ends the latest incarnation, also at a follower that still knows the former one", withdrawWhereOutdated(1, 2), gone},
+		{"ends the latest incarnation, also at a leader that still knows the former one", withdrawWhereOutdated(0, 1), gone},
+		{"ends the latest incarnation, also at the third host", withdrawWhereOutdated(2, 0), gone},
 	} {
 		ginkgo.It(c.name, func() {
 			f := newSmallFleet()
