pkg/reducer: base a change of the control hosts on the membership, and drop it if its sender has gone

Callers would see: a control host that was removed, or added again, is removed a second time by an order that the operator gave up on earlier.

AddMember and RemoveMember name a host only, and count from the time at which the leader gets them.

Change: the host that is asked reads the index of the membership through the leader, checks that the sender still waits, and sends the change with that index. The leader starts a change only from its base. New messages (MembershipRead, MemberOrder) replace the old ones, which leaders still accept from hosts of earlier versions.

The process tests of the control hosts pass.

--- a/pkg/reducer/command.go
+++ b/pkg/reducer/command.go
@@ -226,6 +226,8 @@
 		s.answerOperation(p.waiter, readRegistry(s.control.replicated.registry, read))
 	case DeclarationRead:
 		s.answerOperation(p.waiter, s.answerDeclarationRead(read))
+	case MembershipRead:
+		s.answerOperation(p.waiter, MembershipFound{Index: s.control.replication.log.MembershipIndex()})
 	case EvacuationRead:
 		s.answerOperation(p.waiter, EvacuationFound{Revision: s.control.replicated.evacuations[read.Domain].Revision})
 	}
--- a/pkg/reducer/confirmation.go
+++ b/pkg/reducer/confirmation.go
@@ -62,6 +62,8 @@
 	switch o := o.(type) {
 	case evacuationOrder:
 		s.proposeEvacuation(o, e.Waiting)
+	case memberChange:
+		s.changeMembers(o, e.Waiting)
 	case withdrawalOrder:
 		s.executeWithdrawal(o, e.Waiting)
 	}
--- a/pkg/reducer/member.go
+++ b/pkg/reducer/member.go
@@ -22,8 +22,29 @@
 	}
 )
 
-func (AddMember) isOperation()    {}
-func (RemoveMember) isOperation() {}
+// Operations that let the leader recognize a late copy of an operator's order.
+type (
+	// MembershipRead asks the leader for the index of the membership.
+	MembershipRead struct{}
+	// MemberOrder is an AddMember or a RemoveMember that starts no change if the membership has changed since the
+	// read of Base.
+	MemberOrder struct {
+		Operation Operation           `msgpack:"o"`
+		Base      identifier.LogIndex `msgpack:"b"`
+	}
+)
+
+func (AddMember) isOperation()      {}
+func (RemoveMember) isOperation()   {}
+func (MembershipRead) isOperation() {}
+func (MemberOrder) isOperation()    {}
+
+// MembershipFound answers a MembershipRead.
+type MembershipFound struct {
+	Index identifier.LogIndex `msgpack:"i"`
+}
+
+func (MembershipFound) isAnswer() {}
 
 // MembersDecided is the answer to an operation on the membership.
 type MembersDecided struct {
@@ -42,21 +63,74 @@
 	Operation Operation
 }
 
-// receiveMemberOperation performs the next step towards the requested membership, and
-// answers once that is committed. The requesting host retries until then.
-func (s *State) receiveMemberOperation(w waiter, o Operation) {
+// memberOrigin is an operator's change of the control hosts whose base is being read.
+type memberOrigin struct {
+	order    MembersRequested
+	deadline identifier.Instant
+}
+
+func (memberOrigin) isOrigin() {}
+
+// memberChange is an operator's change of the control hosts whose base was read.
+type memberChange struct {
+	memberOrigin
+	base identifier.LogIndex
+}
+
+func (memberChange) isOrder() {}
+
+// orderMembers reads the base of a change of the control hosts through the leader.
+func (s *State) orderMembers(e MembersRequested) {
+	deadline := s.now.Add(MemberTimeout)
+	s.startOperation(MembershipRead{}, memberOrigin{e, deadline}, deadline)
+}
+
+// receiveMembershipBase checks that the sender of a change whose base was read still waits.
+func (s *State) receiveMembershipBase(o memberOrigin, a Answer) {
+	found, ok := a.(MembershipFound)
+	if !ok {
+		s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+		return
+	}
+	s.confirmCaller(o.order.Ticket, memberChange{o, found.Index})
+}
+
+// changeMembers has the leader change the control hosts if the sender of the order still waits.
+func (s *State) changeMembers(c memberChange, waiting bool) {
+	if !waiting {
+		s.log(ConfigurationSubsystem, Info, "change of the control hosts dropped: its sender has gone")
+		s.emit(ReplyOperator{Ticket: c.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+		return
+	}
+	s.startOperation(MemberOrder{Operation: c.order.Operation, Base: c.base}, operatorOrigin{c.order.Ticket}, c.deadline)
+}
+
+// receiveMemberOperation performs the next step towards the requested membership, and answers once that is committed.
+// The requesting host retries until then. A change starts only from the base of the order.
+func (s *State) receiveMemberOperation(w waiter, o Operation, base identifier.LogIndex) {
 	log := s.control.replication.log
-	var err error
+	var change func(identifier.Instant, identifier.HostID) error
+	var host identifier.HostID
 	done := false
 	switch o := o.(type) {
 	case AddMember:
-		if done = hasVoter(log.CommittedMembers(), o.Host); !done && !log.Members().HasHost(o.Host) {
-			err = log.AddMember(s.now, o.Host)
+		host = o.Host
+		if done = hasVoter(log.CommittedMembers(), host); !done && !log.Members().HasHost(host) {
+			change = log.AddMember
 		}
 	case RemoveMember:
-		if done = !log.CommittedMembers().HasHost(o.Host); !done && log.Members().HasHost(o.Host) {
-			err = log.RemoveMember(s.now, o.Host)
+		host = o.Host
+		if done = !log.CommittedMembers().HasHost(host); !done && log.Members().HasHost(host) {
+			change = log.RemoveMember
+		}
+	}
+	var err error
+	if change != nil {
+		if base != log.MembershipIndex() {
+			s.answerOperation(w, MembersDecided{Members: log.CommittedMembers(), Refusal: "the control hosts have changed since the order"})
+			return
 		}
+		err = change(s.now, host)
 	}
 	var refused *replicator.MemberError
 	if errors.As(err, &refused) && !refused.Temporary {
--- a/pkg/reducer/operation.go
+++ b/pkg/reducer/operation.go
@@ -190,7 +190,7 @@
 	case CallerConfirmed:
 		s.receiveCaller(e)
 	case MembersRequested:
-		s.startOperation(e.Operation, operatorOrigin{e.Ticket}, s.now.Add(MemberTimeout))
+		s.orderMembers(e)
 	case IntentRequested:
 		s.startOperation(Proposal{Command: IntentRecorded{Intent: e.Intent}}, queryOrigin{e.Intent.Request}, e.Deadline)
 	case IntentReturned:
@@ -283,8 +283,11 @@
 	case Proposal:
 		s.receiveProposal(w, o)
 	case AddMember, RemoveMember:
-		s.receiveMemberOperation(w, o)
-	case ObjectsRead, DeclarationRead, EvacuationRead:
+		// Hosts of earlier versions send no base.
+		s.receiveMemberOperation(w, o, s.control.replication.log.MembershipIndex())
+	case MemberOrder:
+		s.receiveMemberOperation(w, o.Operation, o.Base)
+	case ObjectsRead, DeclarationRead, EvacuationRead, MembershipRead:
 		s.control.operations.ticket++
 		ticket := s.control.operations.ticket
 		s.control.operations.inProgress[w] = true
@@ -373,6 +376,8 @@
 		s.finishProof(e.Answer)
 	case evacuationOrigin:
 		s.receiveEvacuationBase(o, e.Answer)
+	case memberOrigin:
+		s.receiveMembershipBase(o, e.Answer)
 	}
 }
 
@@ -390,5 +395,7 @@
 		s.finishProof(LeaderMissing{})
 	case evacuationOrigin:
 		s.receiveEvacuationBase(o, nil)
+	case memberOrigin:
+		s.receiveMembershipBase(o, nil)
 	}
 }
--- a/pkg/reducer/variant.go
+++ b/pkg/reducer/variant.go
@@ -64,5 +64,8 @@
 		EvacuationOrdered{},
 		EvacuationRead{},
 		EvacuationFound{},
+		MembershipRead{},
+		MemberOrder{},
+		MembershipFound{},
 	}
 }
--- a/pkg/replicator/replicator.go
+++ b/pkg/replicator/replicator.go
@@ -270,6 +270,9 @@
 // Members returns the current membership, committed or not.
 func (r *Replicator[C, S]) Members() Membership { return r.members.latest().members }
 
+// MembershipIndex returns the index of the entry or snapshot that set the current membership.
+func (r *Replicator[C, S]) MembershipIndex() identifier.LogIndex { return r.members.latest().index }
+
 // CommittedMembers returns the latest membership known to be committed.
 func (r *Replicator[C, S]) CommittedMembers() Membership { return r.members.at(r.commit) }
 
