pkg/reducer: end only the quarantine that an operator's release is about

Callers would see: a request that crashes servers, quarantined again after a release, runs again and crashes two further servers when a control or entry host handles an earlier copy of the release.

A release names a fingerprint only, and was answered before the state had seen it. Found by the search on related paths.

Change: the state takes the end of the quarantine as the base of the release, checks that the sender still waits, and ends no other quarantine. The interface answers afterwards, with 409 if another crash was reported meanwhile. The test of the interface expected the event that was delivered; it now expects the fingerprint that is released, and has a case more.

--- a/internal/executor/operators.go
+++ b/internal/executor/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
 )
@@ -26,6 +27,13 @@
 	return h.routes.sendAndWait(ctx, asked.Ticket, func() { h.Deliver(asked) })
 }
 
+// ReleaseQuarantine lets a request that has crashed servers run again, unless it crashes another one meanwhile or the
+// context has ended by the time the release is handled. It returns the context's error if the context ends first.
+func (h *Host) ReleaseQuarantine(ctx context.Context, f identifier.Fingerprint) (reducer.ReplyOperator, error) {
+	ticket := h.newTicket()
+	return h.runOperation(ctx, ticket, reducer.QuarantineReleased{Ticket: ticket, Fingerprint: f})
+}
+
 // runOperation delivers the event and waits for the reply to its ticket.
 func (h *Host) runOperation(ctx context.Context, t reducer.Ticket, event reducer.Event) (reducer.ReplyOperator, error) {
 	return h.operations.sendAndWait(ctx, t, func() { h.Deliver(event) })
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -10,12 +10,12 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// HostViewer returns the published view and the clock of a host, delivers events to the host, and
-// explains its routes. executor.Host implements it.
+// HostViewer returns the published view and the clock of a host, ends quarantines, and explains its routes.
+// executor.Host implements it.
 type HostViewer interface {
 	View() *reducer.View
 	Now() identifier.Instant
-	Deliverer
+	QuarantineReleaser
 	RouteExplainer
 }
 
@@ -39,7 +39,7 @@
 	mux.HandleFunc("GET /v1/burn", o.serveBurn)
 	(&configurationHandler{host: host, runner: r}).register(mux)
 	mux.HandleFunc("GET /v1/route", (&routeHandler{host: host, explainer: v}).explain)
-	(&quarantineHandler{deliverer: v}).register(mux)
+	(&quarantineHandler{releaser: v}).register(mux)
 	return mux
 }
 
--- a/internal/listener/quarantine.go
+++ b/internal/listener/quarantine.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
@@ -8,15 +9,15 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// Deliverer delivers events to a host. executor.Host implements it.
-type Deliverer interface {
-	Deliver(event reducer.Event)
+// QuarantineReleaser ends the quarantine of requests. executor.Host implements it.
+type QuarantineReleaser interface {
+	ReleaseQuarantine(ctx context.Context, f identifier.Fingerprint) (reducer.ReplyOperator, error)
 }
 
 // quarantineHandler serves the part of the operators' interface for requests that are
 // quarantined because they crashed backend servers.
 type quarantineHandler struct {
-	deliverer Deliverer
+	releaser QuarantineReleaser
 }
 
 func (q *quarantineHandler) register(mux *http.ServeMux) {
@@ -31,7 +32,15 @@
 		http.Error(w, "fingerprint: must be a hexadecimal number of 64 bits", http.StatusBadRequest)
 		return
 	}
-	q.deliverer.Deliver(reducer.QuarantineReleased{Fingerprint: identifier.Fingerprint(fingerprint)})
+	reply, err := q.releaser.ReleaseQuarantine(r.Context(), identifier.Fingerprint(fingerprint))
+	if err != nil {
+		writeFailure(w, "", reducer.Failed{Kind: abandonedKind, Ran: reducer.RanMaybe, Message: err.Error()})
+		return
+	}
+	if _, ok := reply.Reply.(reducer.Committed); !ok {
+		http.Error(w, "the request has crashed another server meanwhile", http.StatusConflict)
+		return
+	}
 	writeJSON(w, http.StatusOK, struct {
 		Released string `json:"released"`
 	}{r.PathValue("fingerprint")})
--- a/internal/listener/quarantine_test.go
+++ b/internal/listener/quarantine_test.go
@@ -14,8 +14,11 @@
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 )
 
-// recordingHost records the events delivered to it.
-type recordingHost struct{ events []reducer.Event }
+// recordingHost records the fingerprints that are released, and gives the answer.
+type recordingHost struct {
+	released []identifier.Fingerprint
+	answer   reducer.Answer
+}
 
 func (r *recordingHost) View() *reducer.View     { return &reducer.View{} }
 func (r *recordingHost) Now() identifier.Instant { return 0 }
@@ -23,25 +26,30 @@
 	return reducer.RouteExplanation{}, nil
 }
 
-func (r *recordingHost) Deliver(event reducer.Event) { r.events = append(r.events, event) }
+func (r *recordingHost) ReleaseQuarantine(_ context.Context, f identifier.Fingerprint) (reducer.ReplyOperator, error) {
+	r.released = append(r.released, f)
+	return reducer.ReplyOperator{Reply: r.answer}, nil
+}
 
 var _ = ginkgo.Describe("the quarantine release request", func() {
 	for _, c := range []struct {
 		fingerprint string
+		answer      reducer.Answer
 		status      int
-		events      []reducer.Event
+		released    []identifier.Fingerprint
 	}{
-		{"29a", http.StatusOK, []reducer.Event{reducer.QuarantineReleased{Fingerprint: 666}}},
-		{"xyz", http.StatusBadRequest, nil},
-		{"10000000000000000", http.StatusBadRequest, nil},
+		{"29a", reducer.Committed{}, http.StatusOK, []identifier.Fingerprint{666}},
+		{"29b", reducer.QuarantineChanged{}, http.StatusConflict, []identifier.Fingerprint{667}},
+		{"xyz", nil, http.StatusBadRequest, nil},
+		{"10000000000000000", nil, http.StatusBadRequest, nil},
 	} {
 		ginkgo.It("is answered for the fingerprint "+c.fingerprint, func() {
-			host := &recordingHost{}
+			host := &recordingHost{answer: c.answer}
 			handler := listener.NewOperators("h-1", host, nil, meter.New(), func() bool { return true })
 			recorder := httptest.NewRecorder()
 			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/quarantine/"+c.fingerprint+"/release", nil))
 			gomega.Expect(recorder.Code).To(gomega.Equal(c.status))
-			gomega.Expect(host.events).To(gomega.Equal(c.events))
+			gomega.Expect(host.released).To(gomega.Equal(c.released))
 		})
 	}
 })
--- a/pkg/reducer/confirmation.go
+++ b/pkg/reducer/confirmation.go
@@ -64,6 +64,8 @@
 		s.proposeEvacuation(o, e.Waiting)
 	case memberChange:
 		s.changeMembers(o, e.Waiting)
+	case releaseOrder:
+		s.releaseQuarantine(o, e.Waiting)
 	case withdrawalOrder:
 		s.executeWithdrawal(o, e.Waiting)
 	}
--- a/pkg/reducer/fleetcrash_test.go
+++ b/pkg/reducer/fleetcrash_test.go
@@ -232,6 +232,43 @@
 	})
 })
 
+// Guards against late copies of an operator's release that end a later quarantine.
+var _ = ginkgo.Describe("a release of a request that crashes servers", func() {
+	const resendInterval = 400 * identifier.Millisecond
+	for _, c := range []struct {
+		name string
+		// gone is set if the operator has given up, and crashes if the request crashes another server meanwhile.
+		gone, crashes bool
+		runs          bool
+	}{
+		{"has an effect while its operator waits", false, false, true},
+		{"has none if its operator has gone", true, false, false},
+		{"has none on a quarantine that another crash has renewed", false, true, false},
+	} {
+		ginkgo.It(c.name, func() {
+			f := newCrashFleet("desk-a", 2*identifier.Second)
+			for resend := range 12 {
+				f.request(resend%3, crashingPath, crashingFingerprint)
+				f.run(resendInterval)
+			}
+			f.run(5 * identifier.Second)
+			f.ticket++
+			f.gone[f.ticket] = c.gone
+			f.reduce(entryName(1), reducer.QuarantineReleased{Ticket: f.ticket, Fingerprint: crashingFingerprint})
+			if c.crashes {
+				f.reduce(entryName(1), reducer.FingerprintCrashed{
+					Fingerprint: crashingFingerprint, Crash: quarantiner.Crash{Server: "other", Service: "desk-a", Incarnation: 9},
+				})
+			}
+			f.run(identifier.Second)
+			before := len(f.crashes)
+			f.request(2, crashingPath, crashingFingerprint)
+			f.run(identifier.Second)
+			gomega.Expect(len(f.crashes) > before).To(gomega.Equal(c.runs))
+		})
+	}
+})
+
 var _ = ginkgo.Describe("what hosts report of a client's request that crashes servers", func() {
 	ginkgo.It("is limited however many shards it has reached", func() {
 		c := newCrashFleet(strings.Join(crashServices, ","), 2*identifier.Second)
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -67,18 +67,52 @@
 	}
 )
 
-// QuarantineReleased is an operator's command that a request may run again.
+// QuarantineReleased is an operator's command that a request may run again. ReplyOperator follows if Ticket is set; a
+// release without one has no sender that could give up.
 type QuarantineReleased struct {
 	quarantineEvent
+	Ticket      Ticket
 	Fingerprint identifier.Fingerprint
 }
 
+// QuarantineChanged answers a release that was overtaken by another crash.
+type QuarantineChanged struct{}
+
+func (QuarantineChanged) isAnswer() {}
+
+// releaseOrder is a release with the end of the quarantine that it is about.
+type releaseOrder struct {
+	release QuarantineReleased
+	end     identifier.Instant
+}
+
+func (releaseOrder) isOrder() {}
+
+// releaseQuarantine ends the quarantine that was known when the release was received, if the sender still waits. Each crash
+// moves the end of a quarantine, so a release doesn't concern a later one.
+func (s *State) releaseQuarantine(o releaseOrder, waiting bool) {
+	var answer Answer = Committed{}
+	switch {
+	case !waiting:
+		answer = LeaderMissing{}
+	case o.end != s.quarantiner.QuarantineEnd(o.release.Fingerprint):
+		answer = QuarantineChanged{}
+	default:
+		s.notifyStates(FingerprintCleared{Fingerprint: o.release.Fingerprint})
+	}
+	s.emit(ReplyOperator{Ticket: o.release.Ticket, Reply: answer, Control: s.controlStatus()})
+}
+
 func (s *State) reduceQuarantine(event QuarantineEvent) {
 	switch e := event.(type) {
 	case ProbeAsked:
 		s.grantProbe(e)
 	case QuarantineReleased:
-		s.notifyStates(FingerprintCleared{Fingerprint: e.Fingerprint})
+		if e.Ticket == 0 {
+			s.notifyStates(FingerprintCleared{Fingerprint: e.Fingerprint})
+			return
+		}
+		s.confirmCaller(e.Ticket, releaseOrder{e, s.quarantiner.QuarantineEnd(e.Fingerprint)})
 	case ProbeReturned:
 		requester := quarantiner.Requester{Host: e.From, Request: e.Request}
 		if next, ok := s.control.arbiter.Release(s.now, e.Fingerprint, requester); ok {
