pkg/reducer: only the followed control host may call servers silent or leave them out

Callers would see: an entry host that takes running servers for silent, or loses them, until their entries in its own control host's list change.

Cause: an entry host merged each list that it got. A control host that wakes from a freeze answers old polls when the leases of all servers have lapsed on it, and lists them as silent; the entry host follows another one by then, whose next changes don't repeat what has not changed there. The same holds for whole lists that leave servers out, and for a whole list that a later one has overtaken on another connection.

Change: while an entry host follows a control host, another one's list counts for new servers, later incarnations and shutdowns only. When it follows the other one, it takes its whole list. A whole list older than the one held is dropped.

--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -385,6 +385,40 @@
 			f.announce(0, announcement("s-1", 1, 1))
 			f.run(5 * identifier.Second)
 		}, map[identifier.ServerID]bool{"s-1": true}},
+		{"keeps a server that a control host lists as silent to which no entry host subscribes", func(f *smallFleet) {
+			f.announce(0, announcement("s-1", 1, 1))
+			for i := range 3 {
+				f.reduce(entryName(i), reducer.ServerListSent{
+					From: controlName((i + 1) % 3), InTouch: true, Synchronized: true,
+					Servers: []reducer.ListedServer{{Announcement: announcement("s-1", 1, 1), Standing: reducer.Silent}},
+				})
+			}
+			f.run(identifier.Second)
+		}, present},
+		{"keeps a server that is missing in the whole list of a control host to which no entry host subscribes", func(f *smallFleet) {
+			f.announce(0, announcement("s-1", 1, 1))
+			for i := range 3 {
+				f.reduce(entryName(i), reducer.ServerListSent{
+					From: controlName((i + 1) % 3), InTouch: true, Synchronized: true, Complete: true,
+				})
+			}
+			f.run(identifier.Second)
+		}, present},
+		{"keeps a server that a whole list lacks which a later one has overtaken", func(f *smallFleet) {
+			latest := map[identifier.HostID]reducer.ServerListSent{}
+			f.onReceive = func(id identifier.HostID, e reducer.Event) {
+				if l, ok := e.(reducer.ServerListSent); ok && !l.Brief {
+					latest[id] = l
+				}
+			}
+			f.announce(0, announcement("s-1", 1, 1))
+			f.onReceive = nil
+			gomega.Expect(latest).To(gomega.HaveLen(3))
+			for id, l := range latest {
+				l.Complete, l.Servers, l.Position.Revision = true, nil, l.Position.Revision-1
+				f.reduce(id, l)
+			}
+		}, present},
 		{"is available at once after all control hosts have restarted", func(f *smallFleet) {
 			f.announce(0, announcement("s-1", 1, 1))
 			f.run(3 * identifier.Second)
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -211,6 +211,10 @@
 	}
 	delete(sl.listRequested, e.From)
 	held := sl.positions[e.From]
+	if e.Complete && held.Started == e.Position.Started && held.Revision > e.Position.Revision {
+		// A later list has overtaken this one on another connection.
+		return
+	}
 	if !e.Complete && (held.Started != e.Position.Started || held.Revision > e.Position.Revision) {
 		// The changes apply to a list that this host does not hold.
 		delete(sl.positions, e.From)
@@ -261,9 +265,7 @@
 		return s.control.synchronized != synchronized
 	}
 	if e.Complete {
-		for _, l := range e.Servers {
-			s.updateReported(e.From, l)
-		}
+		s.mergeServers(e)
 	} else {
 		// Request the whole list again, with this control host's verdicts on degraded servers.
 		delete(sl.positions, e.From)
@@ -309,18 +311,18 @@
 }
 
 // mergeServers merges a control host's list into that of this entry host. Servers that the list
-// leaves out are removed only if the sender is synchronized and connected to its quorum. It
-// reports whether anything has changed.
+// leaves out are removed only if the sender is synchronized and connected to its quorum, and this host subscribes to no
+// other one. It reports whether anything has changed.
 func (s *State) mergeServers(e ServerListSent) bool {
 	sl := &s.control.serverList
 	changed := false
 	named := map[identifier.ServerID]bool{}
 	for _, l := range e.Servers {
 		named[l.Announcement.Server] = true
-		changed = s.mergeServer(l) || changed
+		changed = s.mergeServer(e.From, l) || changed
 		changed = s.updateReported(e.From, l) || changed
 	}
-	if !e.Complete || !e.InTouch || !e.Synchronized {
+	if !e.Complete || !e.InTouch || !e.Synchronized || s.subscribesToOther(e.From) {
 		return changed
 	}
 	for id, l := range sl.servers {
@@ -335,8 +337,24 @@
 
 // mergeServer records one server unless this host holds newer information. It reports whether anything
 // has changed.
-func (s *State) mergeServer(l ListedServer) bool {
-	return !s.holdsNewer(l) && s.control.serverList.update(s.now, l.Announcement, l.Standing)
+func (s *State) mergeServer(from identifier.HostID, l ListedServer) bool {
+	return !s.holdsNewer(l) && !s.contestsPresence(from, l) && s.control.serverList.update(s.now, l.Announcement, l.Standing)
+}
+
+// contestsPresence reports whether a control host that this host doesn't subscribe to lists a server as silent or displaced that
+// the subscribed one lists as present. A host that was frozen takes all servers for silent when it wakes and answers.
+func (s *State) contestsPresence(from identifier.HostID, l ListedServer) bool {
+	if !s.subscribesToOther(from) || l.Standing != Silent && l.Standing != Displaced {
+		return false
+	}
+	known, ok := s.control.serverList.servers[l.Announcement.Server]
+	return ok && known.Standing == Present && known.Announcement.Incarnation == l.Announcement.Incarnation
+}
+
+// subscribesToOther reports whether this entry host subscribes to another control host.
+func (s *State) subscribesToOther(id identifier.HostID) bool {
+	subscribedTo := s.control.serverList.subscribedTo
+	return subscribedTo != "" && subscribedTo != id
 }
 
 // holdsNewer reports whether this host knows more of a server than another host's list says. Within an
