pkg/reducer: commit a withdrawal again before it is acknowledged again

Callers would see: requests at a server past its drain time, although its withdrawal was acknowledged. The control host knew that the former incarnation had left and, out of touch, nothing of the one that sent the withdrawal.

Cause: a departure that is committed was acknowledged from memory, also by a host out of touch. A withdrawal names no incarnation, so it may be of a later one.

Change: a withdrawal is committed again, which needs a quorum and shows the later incarnation. Announcements that drain name their incarnation and are acknowledged from memory as before.

--- a/pkg/reducer/departure.go
+++ b/pkg/reducer/departure.go
@@ -168,15 +168,19 @@
 }
 
 // acknowledgeDeparture answers a backend server that has announced its shutdown, once that is
-// committed.
+// committed. A departure that is committed already is acknowledged at once if the server has named its incarnation; a
+// withdrawal may come from a later one that this host doesn't know, and is committed again.
 func (s *State) acknowledgeDeparture(d Departure, grant GrantLease) {
 	if _, ok := s.parameters.Duty.(ControlDuty); !ok {
 		s.emit(grant)
 		return
 	}
-	committed := s.control.replicated.departures.includes(s.now, d)
-	if committed || grant.Declined {
-		grant.Declined = !committed
+	if d.Stage == Finishing && s.control.replicated.departures.includes(s.now, d) {
+		grant.Declined = false
+		s.emit(grant)
+		return
+	}
+	if grant.Declined {
 		s.emit(grant)
 		return
 	}
--- a/pkg/reducer/withdrawal_test.go
+++ b/pkg/reducer/withdrawal_test.go
@@ -107,6 +107,18 @@
 			f.do("heal")
 			f.run(identifier.Second)
 		}, gone},
+		{"is declined where only the departure of the former incarnation is known, by a host out of touch", func(f *smallFleet) {
+			gomega.Expect(f.withdrawAt(1, "s-1")).To(gomega.BeTrue())
+			f.isolated[controlName(0)] = true
+			f.announce(1, announcement("s-1", 2, 1))
+			gomega.Expect(f.withdrawAt(0, "s-1")).To(gomega.BeFalse())
+			f.do("heal")
+			f.announce(1, announcement("s-1", 2, 2))
+		}, present},
+		{"ends the latest incarnation where only the departure of the former one is known", func(f *smallFleet) {
+			gomega.Expect(f.withdrawAt(1, "s-1")).To(gomega.BeTrue())
+			withdrawWhereOutdated(0, 1)(f)
+		}, gone},
 		{"ends the latest incarnation, also at a follower that still knows the former one", withdrawWhereOutdated(1, 2), gone},
 		{"ends the latest incarnation, also at a leader that still knows the former one", withdrawWhereOutdated(0, 1), gone},
 		{"ends the latest incarnation, also at the third host", withdrawWhereOutdated(2, 0), gone},
