cmd/lagooncleat: the fault soak holds back an operator's orders, with the end of their connections

An operator evacuates a failure domain and takes that back in series, over relays that hold back connections for up to 3.5 s. At the end of each seed it gives up on an order that is held back, and what it orders next must stand.

--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -32,6 +32,16 @@
 // soakAnnouncementInterval is the interval between announcements of a fake server.
 const soakAnnouncementInterval = 300 * time.Millisecond
 
+// soakZone is the failure domain that the operator evacuates.
+const soakZone = "fd-1"
+
+const (
+	// orderTimeout is how long the operator waits for the answer to an order.
+	orderTimeout = time.Second
+	// operatorPause is the time between the acknowledgement of an order and the next one.
+	operatorPause = 300 * time.Millisecond
+)
+
 // soakReplacementTime is how long a group of control hosts may take to adapt to a replacement.
 const soakReplacementTime = 5 * time.Second
 
@@ -81,6 +91,8 @@
 	acknowledgedVersion int
 	violations          []string
 	searchesAnswered    int
+	// operatorLinks are relays in front of the control hosts that hold back the operator's orders.
+	operatorLinks []*relayer.Relay
 	// reportedNotRun holds the IDs of postings whose response said that they were not run.
 	reportedNotRun []string
 }
@@ -229,6 +241,82 @@
 	}
 }
 
+// runOperator begins and ends the evacuation of a failure domain in turn until the soak is done. It gives up on a control host
+// after orderTimeout and sends the order to the next one.
+func (s *soak) runOperator() {
+	defer ginkgo.GinkgoRecover()
+	operator := imitator.NewOperator(orderTimeout)
+	for n := 0; ; n++ {
+		ended, acknowledged := n%2 == 1, false
+		for i := 0; !acknowledged; i++ {
+			select {
+			case <-s.done:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			link := s.operatorLinks[(n+i)%len(s.operatorLinks)]
+			acknowledged = operator.Evacuate(string(link.Address()), soakZone, ended)
+		}
+		select {
+		case <-s.done:
+			return
+		case <-time.After(operatorPause):
+		}
+	}
+}
+
+// holdOrders holds back the operator's connections to a control host for a random duration, with their end.
+func (s *soak) holdOrders(random *rand.Rand) {
+	link := s.operatorLinks[random.IntN(len(s.operatorLinks))]
+	link.SetCondition(relayer.Stalled{Forward: true})
+	time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
+	link.SetCondition(relayer.Forwarding{})
+	time.Sleep(drawFaultDuration(random) / 4)
+}
+
+// startOperatorLinks starts the relays in front of the control hosts.
+func (s *soak) startOperatorLinks() {
+	for _, h := range s.hosts[:imitator.Domains] {
+		link, err := relayer.New(relayer.Parameters{Target: identifier.Address(h.address(soakControlPort))})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(link.Close)
+		s.operatorLinks = append(s.operatorLinks, link)
+	}
+}
+
+// checkEvacuation has the operator give up on an order that a link holds back, and expects that what it orders next stands: the
+// servers of soakZone get requests unless they are evacuated.
+func (s *soak) checkEvacuation(seed uint64) {
+	links := s.operatorLinks
+	first := int(seed % uint64(len(links)))
+	ended, held, next := seed%2 == 1, links[first], 0
+	order := func(ended bool) {
+		gomega.Eventually(func() bool {
+			// One of the control hosts may have been replaced.
+			next++
+			link := links[(first+1+next%(len(links)-1))%len(links)]
+			return s.operator.Evacuate(string(link.Address()), soakZone, ended)
+		}, waitLimit, "100ms").Should(gomega.BeTrue(), "seed %d", seed)
+	}
+	held.SetCondition(relayer.Stalled{Forward: true})
+	gomega.Expect(s.operator.Evacuate(string(held.Address()), soakZone, ended)).To(gomega.BeFalse())
+	order(ended)
+	order(!ended)
+	held.SetCondition(relayer.Forwarding{})
+	time.Sleep(orderTimeout)
+	for shard := range imitator.Shards {
+		gomega.Expect(s.servers.SetFault(shard, 1, imitator.Healthy)).To(gomega.Succeed())
+	}
+	for n := range 60 {
+		s.search(0, imitator.Domains+n%imitator.Domains, fmt.Sprintf("evacuation-%d-%d", seed, n))
+	}
+	arrived := 0
+	for shard := range imitator.Shards {
+		arrived += len(s.servers.Arrivals(shard, 1))
+	}
+	gomega.Expect(arrived > 0).To(gomega.Equal(!ended), "seed %d: %d requests reach the zone", seed, arrived)
+}
+
 // injectFaults starts a goroutine that injects one fault after another until the soak is
 // done. Each goroutine has its own random source. Faults of control hosts, of entry hosts
 // and of servers overlap, but there is only one of each kind at a time, because the
@@ -398,7 +486,8 @@
 var _ = ginkgo.Describe("the fault soak", func() {
 	ginkgo.It("finds no violation of a fleet's guarantees while faults are injected", func() {
 		for i := range uint64(*soakSeeds) {
-			s := newSoak(90, *soakFirstSeed+i)
+			s := newSoak(90, *soakFirstSeed+i, func(l *loader.Settings) { l.Fleet.EvacuationMillis = 5000 })
+			s.startOperatorLinks()
 			gomega.Eventually(func() bool { return s.declare(1) }, waitLimit, "100ms").Should(gomega.BeTrue())
 			attempt := 0
 			answered := func() bool { attempt++; return s.allAnswerInFull(attempt) }
@@ -409,11 +498,14 @@
 			s.injectFaults(1, func(r *rand.Rand) { s.injectHostFault(r, s.hosts[:imitator.Domains]) })
 			s.injectFaults(2, func(r *rand.Rand) { s.injectHostFault(r, s.hosts[imitator.Domains:]) })
 			s.injectFaults(3, s.injectServerFault)
+			s.workers.Go(s.runOperator)
+			s.injectFaults(4, s.holdOrders)
 			time.Sleep(*soakDuration)
 			close(s.done)
 			s.workers.Wait()
 			gomega.Eventually(answered, waitLimit, "100ms").Should(gomega.BeTrue(), "seed %d at the end", *soakFirstSeed+i)
 			s.checkRuns(*soakFirstSeed + i)
+			s.checkEvacuation(*soakFirstSeed + i)
 			for _, h := range s.hosts {
 				gomega.Expect(counterValue(h, "lagooncleat_broken_invariants_total")).To(gomega.BeZero(), "seed %d, host %s", *soakFirstSeed+i, h.ip)
 				h.session.Kill().Wait(waitLimit)
