pkg/quarantiner, pkg/reducer: announce crashes that are learnt late, and count a probe without an answer as lost

Cause: a host that learns of a crash when the server starts again or its lease lapses reported the crash without a lost call, and the control host that collects the reports announces only lost calls and probes. A probe without an answer was not reported at all.

Change: crashes that span several services, or three and more, are announced to all hosts.

--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -45,6 +45,9 @@
 	// sharingThreshold is the number of lost calls from which all hosts must know of them. Most
 	// requests that lose calls don't come again.
 	sharingThreshold = 2
+	// sharingCrashes is the number of crashes from which all hosts must know of them without a lost call. A request is
+	// hedged at two servers of a service, which may crash for another reason.
+	sharingCrashes = 3
 	// pruneSize is the number of entries at which expired ones are removed.
 	pruneSize = 1024
 )
@@ -129,12 +132,19 @@
 	}
 }
 
-// Shared reports whether all hosts must know the records of the fingerprint: they do already, its
-// calls were lost repeatedly, or a probe was.
+// Shared reports whether all hosts must know the records of the fingerprint: they do already, its calls were lost
+// repeatedly, a probe was, or it ran on several servers that crashed.
 func (q *Quarantiner) Shared(now identifier.Instant, f identifier.Fingerprint) bool {
 	e, ok := q.entries[f]
-	return ok && (e.shared || e.lostCalls >= sharingThreshold || e.probesBlockedUntil > now ||
-		slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Probe }))
+	return ok && (e.shared || e.lostCalls >= sharingThreshold || e.probesBlockedUntil > now || e.crashesShared())
+}
+
+// crashesShared reports whether all hosts must know the crashes: one was during a probe, there are sharingCrashes, or
+// they span several services.
+func (e *entry) crashesShared() bool {
+	return len(e.crashes) >= sharingCrashes || slices.ContainsFunc(e.crashes, func(c Crash) bool {
+		return c.Probe || c.Service != e.crashes[0].Service
+	})
 }
 
 // RecordCrash records that a server crashed while it ran a request. A crash that is already
--- a/pkg/reducer/fleetcrash_test.go
+++ b/pkg/reducer/fleetcrash_test.go
@@ -42,6 +42,8 @@
 	arrivals map[identifier.RequestID]identifier.Instant
 	// losesAnswers makes servers close the connection without an answer to any request.
 	losesAnswers bool
+	// dark makes servers that crash leave their connections open, and start again under their IDs.
+	dark bool
 }
 
 var crashServices = []string{"desk-a", "desk-b", "desk-c"}
@@ -82,6 +84,7 @@
 	server := c.servers[e.Address]
 	c.schedule(c.now.Add(serverLatency), func() {
 		switch {
+		case !server.up && c.dark:
 		case !server.up:
 			c.reduce(id, reducer.ExchangeRefused{Attempt: e.Attempt, Server: e.Server, Reason: reducer.ExchangeUnreachable})
 		case server.announcement.Server != e.Server:
@@ -89,6 +92,9 @@
 		case e.Payload.ClientRequestID == crashingPath:
 			c.arrivals[e.Attempt.Request] = c.now
 			c.crash(server)
+			if c.dark {
+				return
+			}
 			c.reduce(id, reducer.ExchangeLost{Attempt: e.Attempt, Server: e.Server, Reason: "EOF", Closed: true})
 		case c.losesAnswers:
 			c.reduce(id, reducer.ExchangeLost{Attempt: e.Attempt, Server: e.Server, Reason: "EOF", Closed: true})
@@ -100,13 +106,15 @@
 	})
 }
 
-// crash ends a server, which starts again under another ID.
+// crash ends a server, which starts again, under another ID unless crashes are dark.
 func (c *crashFleet) crash(server *crashServer) {
 	c.crashes = append(c.crashes, c.now)
 	server.up = false
 	c.schedule(c.now.Add(c.downtime), func() {
 		server.up = true
-		server.announcement.Server += "x"
+		if !c.dark {
+			server.announcement.Server += "x"
+		}
 		server.announcement.Incarnation = identifier.Incarnation(c.now)
 		server.announcement.Sequence = 0
 	})
@@ -232,6 +240,38 @@
 	})
 })
 
+// Guards against crashes of which only the host that lost the server learns: each host would lose servers itself.
+var _ = ginkgo.Describe("a client's request whose servers go dark", func() {
+	const entryHosts, resendInterval = 6, 1500 * identifier.Millisecond
+	for _, x := range []struct {
+		name, services string
+		downtime       identifier.Micros
+	}{
+		{"of all shards", strings.Join(crashServices, ","), 3 * identifier.Second},
+		{"of all shards, for longer than their leases", strings.Join(crashServices, ","), 6 * identifier.Second},
+		{"of one service", "desk-a", 3 * identifier.Second},
+	} {
+		ginkgo.It(x.name+", resent to many hosts, stops reaching servers", func() {
+			c := newCrashFleet(x.services, x.downtime)
+			c.dark = true
+			for i := 3; i < entryHosts; i++ {
+				c.addHost(entryName(i), i, c.hosts[entryName(0)].parameters.Duty)
+			}
+			c.run(2 * identifier.Second)
+			for resend := range 30 {
+				c.request(resend%entryHosts, crashingPath, crashingFingerprint)
+				c.run(resendInterval)
+			}
+			gomega.Expect(len(c.crashes)).To(gomega.BeNumerically(">=", 3))
+			gomega.Expect(c.lateResends()).To(gomega.BeNumerically("<=", maxLateResends), "%d servers crashed", len(c.crashes))
+			c.run(x.downtime)
+			id := c.request(0, "/harmless", 1)
+			c.run(identifier.Second)
+			gomega.Expect(c.outcomes[id]).To(gomega.BeAssignableToTypeOf(reducer.Gathered{}))
+		})
+	}
+})
+
 // Guards against late copies of an operator's release that end a later quarantine.
 var _ = ginkgo.Describe("a release of a request that crashes servers", func() {
 	const resendInterval = 400 * identifier.Millisecond
--- a/pkg/reducer/fleetquarantine.go
+++ b/pkg/reducer/fleetquarantine.go
@@ -208,8 +208,8 @@
 }
 
 // reportLosses reports a request that ends without an answer after servers have closed the
-// connections of its attempts. The attempts still in flight become evidence if their server
-// restarts: a host that crashes may leave its connections open.
+// connections of its attempts, or whose probe had none by the deadline. The attempts still in flight become evidence if
+// their server restarts: a host that crashes may leave its connections open.
 func (s *State) reportLosses(q *request) {
 	if q.Fingerprint == 0 || q.answered {
 		return
@@ -221,6 +221,9 @@
 		s.notifyStates(FingerprintSuspected{Fingerprint: q.Fingerprint, Service: last.Service, Probe: last.Probe})
 	}
 	for _, a := range q.attempts {
+		if a.open && q.probing && len(lost) == 0 && s.now >= q.deadline {
+			s.notifyStates(FingerprintSuspected{Fingerprint: q.Fingerprint, Service: a.service, Probe: true})
+		}
 		if a.open && len(lost) < maxReportedLosses {
 			lost = append(lost, s.newLostCall(q, a))
 		}
