--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -107,6 +107,8 @@
 
 func newSmallFleet() *smallFleet {
 	f := &smallFleet{
+		// A process that started at 0 would look like none in a position of its list.
+		now:   identifier.Instant(identifier.Second),
 		hosts: map[identifier.HostID]*smallFleetHost{}, isolated: map[identifier.HostID]bool{},
 		frozen: map[identifier.HostID]bool{}, deferred: map[identifier.HostID][]reducer.Event{},
 		grants: map[reducer.Ticket]reducer.GrantLease{}, replies: map[reducer.Ticket]reducer.ReplyOperator{},
