internal/exchanger: never wait for a server on the traffic state's goroutine

Cause: requests under 16 KB were written on the goroutine of the traffic state, without a limit. After a response the connection counted as idle once the request was in the socket's send buffer, so small requests were written behind a body that the server had not read, until the buffer was full and the write waited.

Ruled out: writes to clients, between hosts and to files have goroutines of their own, most with deadlines; nothing else that the loop executes writes to a socket.

Change: the goroutine writes what the socket accepts at once and leaves the rest to another one, as large requests are. A connection is idle only when the server's kernel has acknowledged a request with a body; a server that has read it has. The wait for that ends after 1 s, as the wait for the write did.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -46,9 +46,8 @@
 	// how long checkReset watches a new connection, since a server at its connection cap
 	// accepts connections and resets them at once.
 	resetMargin = 300 * time.Microsecond
-	// largeRequestSize is the size from which a request is written on its own goroutine,
-	// since a server that does not read would block the caller. Smaller requests fit into
-	// the socket buffers.
+	// largeRequestSize is the size from which a request is written on its own goroutine. Of smaller
+	// ones, the caller writes what the socket accepts at once, which is all if the server reads.
 	largeRequestSize identifier.Bytes = 16 << 10
 	// defaultIdleTimeout applies to connections whose server does not state an idle timeout.
 	defaultIdleTimeout = 900 * time.Millisecond
@@ -56,9 +55,11 @@
 	idleTimeoutMargin = 300 * time.Millisecond
 	// maxFreshIdle limits the idle time of a connection for an attempt that must not be lost.
 	maxFreshIdle = 200 * time.Millisecond
-	// writeWaitLimit limits the wait, after a response, until the rest of the request has been
-	// written. After that the connection is closed.
+	// writeWaitLimit limits the wait, after a response, until the server has received the rest of
+	// the request. After that the connection is closed.
 	writeWaitLimit = time.Second
+	// receiptInterval is how often that wait checks what the server has received.
+	receiptInterval = 10 * time.Millisecond
 	// failedWriteReadLimit is how long a response is awaited after the write of its request has failed. A
 	// response from before the failure has arrived already.
 	failedWriteReadLimit = 100 * time.Millisecond
@@ -176,9 +177,9 @@
 	case c == nil:
 		x.group.Go(func() { x.dial(a) })
 	case x.codec.Size(e) >= largeRequestSize:
-		x.group.Go(func() { x.write(c, a) })
+		x.group.Go(func() { x.write(c, a, true) })
 	default:
-		x.write(c, a)
+		x.write(c, a, false)
 	}
 }
 
@@ -249,6 +250,10 @@
 	defer cancel()
 	start := time.Now()
 	socket, err := dialer.Dial(ctx, a.exchange.Address)
+	var to *sender
+	if err == nil {
+		to, err = newSender(socket)
+	}
 	if err == nil {
 		err = checkReset(socket, time.Since(start)+resetMargin)
 	}
@@ -261,7 +266,7 @@
 	}
 	c := &connection{
 		exchanger: x, socket: socket, endpoint: endpoint{a.exchange.Server, a.exchange.Address},
-		reader: newReader(socket, &x.large), writer: bufio.NewWriterSize(socket, bufferSize),
+		reader: newReader(socket, &x.large), sender: to, writer: bufio.NewWriterSize(to, bufferSize),
 	}
 	x.mutex.Lock()
 	x.open[c] = struct{}{}
@@ -278,7 +283,7 @@
 	}
 	x.group.Go(c.readLoop)
 	if !cancelled {
-		x.write(c, a)
+		x.write(c, a, true)
 	}
 }
 
@@ -305,27 +310,40 @@
 	return nil
 }
 
-// write writes an attempt's request. If it fails, the server may have responded before it closed the
-// connection: readLoop reads what has arrived, and reports the attempt as lost if that is no response.
-// Part of the request may have reached the server.
-func (x *Exchanger) write(c *connection, a *attempt) {
-	defer close(a.written)
+// write writes an attempt's request. Unless it may wait, it leaves what the socket doesn't accept at once to another
+// goroutine.
+func (x *Exchanger) write(c *connection, a *attempt, wait bool) {
 	now := x.now()
 	remaining := a.exchange.Deadline.Since(now)
 	if remaining <= 0 || (a.exchange.ValidUntil > 0 && now >= a.exchange.ValidUntil) {
 		x.refuseExpired(c, a)
+		close(a.written)
 		return
 	}
+	c.sender.waits = wait
 	err := x.codec.Write(c.writer, a.exchange, remaining)
 	if err == nil {
 		err = c.writer.Flush()
 	}
-	if err != nil {
-		x.logger.Debug("failed to write the request", "server", a.exchange.Server, "error", err)
-		a.writeFailed = true
-		if err := c.socket.SetReadDeadline(time.Now().Add(failedWriteReadLimit)); err != nil {
-			c.socket.Close()
-		}
+	if err == nil && len(c.sender.rest) > 0 {
+		x.group.Go(func() { x.endWrite(c, a, c.sender.flush()) })
+		return
+	}
+	x.endWrite(c, a, err)
+}
+
+// endWrite notes the end of the write of an attempt's request. If it has failed, the server may have responded before
+// it closed the connection: readLoop reads what has arrived, and reports the attempt as lost if that is no response.
+// Part of the request may have reached the server.
+func (x *Exchanger) endWrite(c *connection, a *attempt, err error) {
+	defer close(a.written)
+	if err == nil {
+		return
+	}
+	x.logger.Debug("failed to write the request", "server", a.exchange.Server, "error", err)
+	a.writeFailed = true
+	if err := c.socket.SetReadDeadline(time.Now().Add(failedWriteReadLimit)); err != nil {
+		c.socket.Close()
 	}
 }
 
@@ -418,7 +436,9 @@
 	socket    net.Conn
 	endpoint  endpoint
 	reader    *Reader
-	writer    *bufio.Writer
+	sender    *sender
+	// writer buffers what is written to the sender.
+	writer *bufio.Writer
 	// attempt is the attempt that runs on the connection, or nil while it is idle.
 	attempt *attempt
 	// idleSince is when the connection last became idle, or zero if it never did. It is also set
@@ -481,7 +501,7 @@
 		idleTimeout = reply.IdleTimeout - idleTimeoutMargin
 	}
 	x.finish(a, reply.Event)
-	if !reply.Reusable || idleTimeout <= 0 || c.reader.Buffered() > 0 || !a.waitWritten() {
+	if !reply.Reusable || idleTimeout <= 0 || c.reader.Buffered() > 0 || !c.waitReceived(a) {
 		return false
 	}
 	x.putIdle(c, idleTimeout)
@@ -494,20 +514,38 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// waitWritten waits for the request to be written and reports false if that fails or takes longer than
-// writeWaitLimit. A server may respond before it has read the whole request.
-func (a *attempt) waitWritten() bool {
+// waitReceived waits until the server has received an attempt's request, and reports false if that fails or takes
+// longer than writeWaitLimit. A server may respond before it has read a long body: another request on the
+// connection would wait until it has.
+func (c *connection) waitReceived(a *attempt) bool {
 	select {
 	case <-a.written:
-		return !a.writeFailed
+		if a.writeFailed {
+			return false
+		}
+		// A server that has responded has read the head.
+		if len(a.exchange.Payload.Body) == 0 || c.sender.unreceived() == 0 {
+			return true
+		}
 	default:
 	}
 	timer := time.NewTimer(writeWaitLimit)
 	defer timer.Stop()
 	select {
 	case <-a.written:
-		return !a.writeFailed
 	case <-timer.C:
 		return false
 	}
+	ticker := time.NewTicker(receiptInterval)
+	defer ticker.Stop()
+	for !a.writeFailed && c.sender.unreceived() > 0 {
+		select {
+		case <-ticker.C:
+		case <-timer.C:
+			return false
+		case <-c.exchanger.context.Done():
+			return false
+		}
+	}
+	return !a.writeFailed
 }
