internal/exchanger: count only the current bytes of a write that is kept for later

Found while reading: a request that is written in several pieces, of which the socket doesn't accept an earlier one at once, ended the process: Write returned the count of the earlier piece as well, and bufio sliced beyond its buffer. The same would follow a write to a connection that has just been closed here.

The test's codec says that requests of megabytes are small, and its server doesn't read.

--- a/internal/exchanger/sender.go
+++ b/internal/exchanger/sender.go
@@ -50,23 +50,24 @@
 	if s.waits {
 		return s.socket.Write(p)
 	}
+	kept := p
 	if len(s.rest) == 0 {
-		s.offered = p
+		// A closed connection returns an error without a call of offer.
+		s.offered, s.accepted, s.err = p, 0, nil
 		err := s.raw.Write(s.offerFunc)
 		s.offered = nil
 		if err = errors.Join(err, s.err); err != nil {
 			return s.accepted, err
 		}
-		p = p[s.accepted:]
+		kept = p[s.accepted:]
 	}
-	s.rest = append(s.rest, p...)
-	return s.accepted + len(p), nil
+	s.rest = append(s.rest, kept...)
+	return len(p), nil
 }
 
 // offer writes what the socket accepts at once. It returns true, so that syscall.RawConn doesn't wait until the
 // socket accepts more.
 func (s *sender) offer(fd uintptr) bool {
-	s.accepted, s.err = 0, nil
 	for s.accepted < len(s.offered) {
 		n, err := syscall.Write(int(fd), s.offered[s.accepted:])
 		switch {
