pkg/quarantiner, pkg/reducer: clear only the crashes that the sender of the notice knew

Callers would see: a request that is quarantined runs again at some hosts and crashes two further servers there, since a link between hosts held back the notice of an earlier release or served probe.

Cause: FingerprintCleared named a fingerprint only, and whoever got it removed all records of it.

Ruled out: the age by the sender's clock. Only control hosts measure each other's latency, and notices come from entry hosts as well.

Change: the notice carries the crashes that its sender knew. Only these are removed; a quarantine stays if the others are enough for one. Notices without the new fields, of hosts of older versions, remove all as before. Older hosts don't read the new ones: a released request stays refused there until they are updated.

--- a/internal/encoder/growth.go
+++ b/internal/encoder/growth.go
@@ -27,6 +27,7 @@
 	{reducer.Payload{}, 4},
 	{reducer.ListedServer{}, 5},
 	{reducer.WithdrawalRelayed{}, 1},
+	{reducer.FingerprintCleared{}, 2},
 	{reducer.ServersMeasured{}, 3},
 	{reducer.Measurement{}, 2},
 	{assessor.Tally{}, 3},
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -161,16 +161,18 @@
 	e.crashes = append(e.crashes, c)
 	e.suspectUntil = max(e.suspectUntil, c.At.Add(CrashSuspicionDuration))
 	e.addService(c.Service)
-	if !c.Probe && !slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Probe }) {
-		return false
-	}
-	if len(e.crashes) < QuarantineThreshold {
+	if !e.crashesQuarantine() {
 		return false
 	}
 	e.quarantinedUntil = max(e.quarantinedUntil, c.At.Add(QuarantineDuration))
 	return e.quarantinedUntil > now
 }
 
+// crashesQuarantine reports whether the crashes are enough for a quarantine.
+func (e *entry) crashesQuarantine() bool {
+	return len(e.crashes) >= QuarantineThreshold && slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Probe })
+}
+
 // HasCrash reports whether the crash is recorded for the fingerprint.
 func (q *Quarantiner) HasCrash(f identifier.Fingerprint, c Crash) bool {
 	e, ok := q.entries[f]
@@ -212,6 +214,32 @@
 	}
 }
 
+// Crashes returns the recorded crashes of the fingerprint.
+func (q *Quarantiner) Crashes(f identifier.Fingerprint) []Crash {
+	if e, ok := q.entries[f]; ok {
+		return slices.Clone(e.crashes)
+	}
+	return nil
+}
+
+// ClearCrashes removes crashes of the fingerprint. If it has no other ones, it does what Clear does; else the rest of its
+// record stays, and its quarantine if they are enough for one. It reports whether it has cleared the fingerprint.
+func (q *Quarantiner) ClearCrashes(now identifier.Instant, f identifier.Fingerprint, crashes []Crash) bool {
+	e, ok := q.entries[f]
+	if !ok {
+		return true
+	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return slices.ContainsFunc(crashes, c.sameIncarnation) })
+	if len(e.crashes) == 0 {
+		q.Clear(now, f)
+		return true
+	}
+	if !e.crashesQuarantine() {
+		e.quarantinedUntil = 0
+	}
+	return false
+}
+
 // HasLostCall reports whether a call with the fingerprint to the service was lost.
 func (q *Quarantiner) HasLostCall(f identifier.Fingerprint, service identifier.ServiceID) bool {
 	e, ok := q.entries[f]
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -31,6 +31,16 @@
 	return func(q *quarantiner.Quarantiner) { q.Clear(at, suspect) }
 }
 
+func crashesCleared(at identifier.Instant, servers ...identifier.ServerID) event {
+	return func(q *quarantiner.Quarantiner) {
+		var crashes []quarantiner.Crash
+		for _, id := range servers {
+			crashes = append(crashes, quarantiner.Crash{Server: id})
+		}
+		q.ClearCrashes(at, suspect, crashes)
+	}
+}
+
 var _ = ginkgo.Describe("a request", func() {
 	for _, c := range []struct {
 		name   string
@@ -55,6 +65,19 @@
 		{"is suspect after the quarantine", []event{
 			serverCrashed(0, "s-1", false), serverCrashed(0, "s-2", true),
 		}, 11 * minute, quarantiner.Suspected},
+		{"is clear once all of its crashes are cleared", []event{
+			serverCrashed(0, "s-1", false), serverCrashed(0, "s-2", true), crashesCleared(1, "s-1", "s-2", "s-3"),
+		}, second, quarantiner.Clear},
+		{"stays quarantined when other crashes are cleared", []event{
+			serverCrashed(0, "s-1", false), serverCrashed(0, "s-2", true), crashesCleared(1, "s-3"),
+		}, second, quarantiner.Quarantined},
+		{"stays quarantined when one of three crashes is cleared", []event{
+			serverCrashed(0, "s-1", false), serverCrashed(0, "s-2", true), serverCrashed(0, "s-3", true), crashesCleared(1, "s-2"),
+		}, second, quarantiner.Quarantined},
+		{"is suspect when one of two crashes is cleared", []event{
+			serverCrashed(0, "s-1", false), serverCrashed(0, "s-2", true), crashesCleared(1, "s-1"),
+		}, second, quarantiner.Suspected},
+		{"is clear after a lost call when no crash is cleared", []event{callLost(0), crashesCleared(1)}, second, quarantiner.Clear},
 		{"is cleared by a served probe", []event{serverCrashed(0, "s-1", false), fingerprintCleared(1)}, second, quarantiner.Clear},
 		{"stays clear when an older crash is recorded", []event{
 			callLost(0), fingerprintCleared(second), serverCrashed(0, "s-1", false),
--- a/pkg/reducer/fleetcrash_test.go
+++ b/pkg/reducer/fleetcrash_test.go
@@ -309,6 +309,44 @@
 	}
 })
 
+// Guards against a notice that ends a later quarantine, because a link between hosts has held it back.
+var _ = ginkgo.Describe("a late notice that a request no longer counts as crashing", func() {
+	ginkgo.It("doesn't end the quarantine by later crashes", func() {
+		const resendInterval = 400 * identifier.Millisecond
+		f := newCrashFleet("desk-a", 2*identifier.Second)
+		notices := map[identifier.HostID]reducer.Event{}
+		f.onReceive = func(id identifier.HostID, e reducer.Event) {
+			if notice, ok := e.(reducer.FingerprintCleared); ok {
+				notices[id] = notice
+			}
+		}
+		quarantine := func() {
+			for resend := range 12 {
+				f.request(resend%3, crashingPath, crashingFingerprint)
+				f.run(resendInterval)
+			}
+			f.run(5 * identifier.Second)
+		}
+		quarantine()
+		f.reduce(entryName(1), reducer.QuarantineReleased{Fingerprint: crashingFingerprint})
+		f.run(identifier.Second)
+		before := len(f.crashes)
+		quarantine()
+		gomega.Expect(len(f.crashes)).To(gomega.BeNumerically(">", before))
+		before = len(f.crashes)
+		gomega.Expect(notices).To(gomega.HaveKey(entryName(2)))
+		for id, notice := range notices {
+			f.reduce(id, notice)
+		}
+		f.run(identifier.Second)
+		for i := range 3 {
+			f.request(i, crashingPath, crashingFingerprint)
+			f.run(identifier.Second)
+		}
+		gomega.Expect(len(f.crashes)).To(gomega.Equal(before))
+	})
+})
+
 var _ = ginkgo.Describe("what hosts report of a client's request that crashes servers", func() {
 	ginkgo.It("is limited however many shards it has reached", func() {
 		c := newCrashFleet(strings.Join(crashServices, ","), 2*identifier.Second)
--- a/pkg/reducer/fleetquarantine.go
+++ b/pkg/reducer/fleetquarantine.go
@@ -203,7 +203,7 @@
 	q.answered = true
 	q.probing = false
 	if q.Fingerprint != 0 && s.isSuspect(q.Fingerprint) {
-		s.notifyStates(FingerprintCleared{Fingerprint: q.Fingerprint})
+		s.notifyCleared(q.Fingerprint)
 	}
 }
 
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -44,6 +44,10 @@
 		Fingerprint identifier.Fingerprint `msgpack:"f"`
 		// Stage is how far the event has come in a fleet.
 		Stage RelayStage `msgpack:"y"`
+		// Based is set if the event concerns only Crashes, which the sender knew. It is not set by hosts of older
+		// versions, whose events concern all crashes.
+		Based   bool                `msgpack:"b"`
+		Crashes []quarantiner.Crash `msgpack:"c"`
 	}
 )
 
@@ -98,7 +102,7 @@
 	case o.end != s.quarantiner.QuarantineEnd(o.release.Fingerprint):
 		answer = QuarantineChanged{}
 	default:
-		s.notifyStates(FingerprintCleared{Fingerprint: o.release.Fingerprint})
+		s.notifyCleared(o.release.Fingerprint)
 	}
 	s.emit(ReplyOperator{Ticket: o.release.Ticket, Reply: answer, Control: s.controlStatus()})
 }
@@ -109,7 +113,7 @@
 		s.grantProbe(e)
 	case QuarantineReleased:
 		if e.Ticket == 0 {
-			s.notifyStates(FingerprintCleared{Fingerprint: e.Fingerprint})
+			s.notifyCleared(e.Fingerprint)
 			return
 		}
 		s.confirmCaller(e.Ticket, releaseOrder{e, s.quarantiner.QuarantineEnd(e.Fingerprint)})
@@ -239,10 +243,19 @@
 	e.Stage = Announced
 	relayed.announced = e
 	s.relay(relayed)
+	if e.Based && !s.quarantiner.ClearCrashes(s.now, e.Fingerprint, e.Crashes) {
+		return
+	}
 	s.control.arbiter.Remove(e.Fingerprint)
 	s.releaseParked(e.Fingerprint)
 }
 
+// notifyCleared notifies all hosts that the crashes that this state knows no longer count. A link may hold the event
+// back, so it doesn't concern others.
+func (s *State) notifyCleared(f identifier.Fingerprint) {
+	s.notifyStates(FingerprintCleared{Fingerprint: f, Based: true, Crashes: s.quarantiner.Crashes(f)})
+}
+
 // syncCrashes sends the suspect fingerprints and their crashes to a host that may have just
 // started, before callers send those requests there again.
 func (s *State) syncCrashes(host identifier.HostID, known bool) {
--- a/pkg/reducer/suspect.go
+++ b/pkg/reducer/suspect.go
@@ -198,7 +198,7 @@
 
 // clearSuspect notifies all hosts that a probe of the request was served.
 func (s *State) clearSuspect(q *query) {
-	s.notifyStates(FingerprintCleared{Fingerprint: q.Fingerprint})
+	s.notifyCleared(q.Fingerprint)
 	s.releaseParked(q.Fingerprint)
 }
 
