pkg/reducer: drop changes of the server list that another message has overtaken

Callers would see: for up to 400 ms, fewer servers are in use at an entry host than run, when messages of its control host arrive late and out of order.

Cause: overtaken changes of the same process made the host forget which revision it holds. A whole list that arrived late then counted, although a later one had been taken in. Overtaken whole lists alone were dropped.

Change: overtaken changes are dropped as well. Revisions of a process only rise, so there is nothing to ask for again.

The new row fails before and passes after. pkg/reducer passes whole.

--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -421,6 +421,23 @@
 				f.reduce(id, l)
 			}
 		}, present},
+		{"keeps a server that a late whole list lacks which comes after late changes", func(f *smallFleet) {
+			latest := map[identifier.HostID]reducer.ServerListSent{}
+			f.onReceive = func(id identifier.HostID, e reducer.Event) {
+				if l, ok := e.(reducer.ServerListSent); ok && !l.Brief {
+					latest[id] = l
+				}
+			}
+			f.announce(0, announcement("s-1", 1, 1))
+			f.onReceive = nil
+			gomega.Expect(latest).To(gomega.HaveLen(3))
+			for id, l := range latest {
+				l.Complete, l.Servers, l.Position.Revision = false, nil, l.Position.Revision-1
+				f.reduce(id, l)
+				l.Complete = true
+				f.reduce(id, l)
+			}
+		}, present},
 		{"is available at once after all control hosts have restarted", func(f *smallFleet) {
 			f.announce(0, announcement("s-1", 1, 1))
 			f.run(3 * identifier.Second)
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -211,11 +211,11 @@
 	}
 	delete(sl.listRequested, e.From)
 	held := sl.positions[e.From]
-	if e.Complete && held.Started == e.Position.Started && held.Revision > e.Position.Revision {
-		// A later list has overtaken this one on another connection.
+	if held.Started == e.Position.Started && held.Revision > e.Position.Revision {
+		// A later message has overtaken this one on another connection.
 		return
 	}
-	if !e.Complete && (held.Started != e.Position.Started || held.Revision > e.Position.Revision) {
+	if !e.Complete && held.Started != e.Position.Started {
 		// The changes apply to a list that this host does not hold.
 		delete(sl.positions, e.From)
 		return
