internal/exchanger: close a connection whose file descriptor can't be accessed

Found while reading the diff: the error path of a dial left the socket open. The connections of net.Dialer always give access to theirs, so no test can reach it.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -252,7 +252,9 @@
 	socket, err := dialer.Dial(ctx, a.exchange.Address)
 	var to *sender
 	if err == nil {
-		to, err = newSender(socket)
+		if to, err = newSender(socket); err != nil {
+			socket.Close()
+		}
 	}
 	if err == nil {
 		err = checkReset(socket, time.Since(start)+resetMargin)
