--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -316,6 +316,22 @@
 	return f.grants[t]
 }
 
+// announceOvertaken announces a server and returns, for each entry host, changes without it of the revision before.
+func (f *smallFleet) announceOvertaken(a leaser.Announcement) map[identifier.HostID]reducer.ServerListSent {
+	overtaken := map[identifier.HostID]reducer.ServerListSent{}
+	f.onReceive = func(id identifier.HostID, e reducer.Event) {
+		if l, ok := e.(reducer.ServerListSent); ok && !l.Brief {
+			l.Complete, l.Servers = false, nil
+			l.Position.Revision--
+			overtaken[id] = l
+		}
+	}
+	f.announce(0, a)
+	f.onReceive = nil
+	gomega.Expect(overtaken).To(gomega.HaveLen(3))
+	return overtaken
+}
+
 func (f *smallFleet) withdraw(i int, id identifier.ServerID) {
 	f.ticket++
 	f.reduce(controlName(i), reducer.ServerWithdrawn{Ticket: f.ticket, Server: id})
@@ -407,32 +423,13 @@
 			f.run(identifier.Second)
 		}, present},
 		{"keeps a server that a whole list lacks which a later one has overtaken", func(f *smallFleet) {
-			latest := map[identifier.HostID]reducer.ServerListSent{}
-			f.onReceive = func(id identifier.HostID, e reducer.Event) {
-				if l, ok := e.(reducer.ServerListSent); ok && !l.Brief {
-					latest[id] = l
-				}
-			}
-			f.announce(0, announcement("s-1", 1, 1))
-			f.onReceive = nil
-			gomega.Expect(latest).To(gomega.HaveLen(3))
-			for id, l := range latest {
-				l.Complete, l.Servers, l.Position.Revision = true, nil, l.Position.Revision-1
+			for id, l := range f.announceOvertaken(announcement("s-1", 1, 1)) {
+				l.Complete = true
 				f.reduce(id, l)
 			}
 		}, present},
 		{"keeps a server that a late whole list lacks which comes after late changes", func(f *smallFleet) {
-			latest := map[identifier.HostID]reducer.ServerListSent{}
-			f.onReceive = func(id identifier.HostID, e reducer.Event) {
-				if l, ok := e.(reducer.ServerListSent); ok && !l.Brief {
-					latest[id] = l
-				}
-			}
-			f.announce(0, announcement("s-1", 1, 1))
-			f.onReceive = nil
-			gomega.Expect(latest).To(gomega.HaveLen(3))
-			for id, l := range latest {
-				l.Complete, l.Servers, l.Position.Revision = false, nil, l.Position.Revision-1
+			for id, l := range f.announceOvertaken(announcement("s-1", 1, 1)) {
 				f.reduce(id, l)
 				l.Complete = true
 				f.reduce(id, l)
