internal/exchanger: test by the order of events that a write doesn't wait for the server

The limit depended on the machine, and the case needs none: the server reads only after Exchange has returned, so a write that waits for it ends with the connection and loses the attempt.

--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -43,13 +43,12 @@
 
 // Guards against a request that holds up its caller, or is damaged, when the socket accepts only a part of it at once.
 var _ = ginkgo.Describe("a request that the socket doesn't accept at once", func() {
-	const maxWait = 100 * time.Millisecond
 	for _, sizes := range [][]int{
 		{16 << 20},
 		{100, 16 << 20},
-		{8 << 20, 100},
-		{8 << 20, 100, 8 << 20},
-		{3000, 8 << 20, 3000, 5000, 8 << 20, 1},
+		{16 << 20, 100},
+		{16 << 20, 100, 16 << 20},
+		{3000, 16 << 20, 3000, 5000, 16 << 20, 1},
 	} {
 		ginkgo.It(fmt.Sprintf("is written whole by another goroutine: %d", sizes), func() {
 			var sent []byte
@@ -102,9 +101,8 @@
 			gomega.Expect(bytes.Equal(<-received, sent)).To(gomega.BeTrue())
 			// The connection is idle soon after the response.
 			time.Sleep(50 * time.Millisecond)
-			start := time.Now()
+			// The server reads only after this returns, so a write that waits for it loses the attempt.
 			exchange(2)
-			gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", maxWait))
 			close(reads)
 			gomega.Eventually(events, "5s").Should(gomega.Receive(gomega.BeAssignableToTypeOf(reducer.ExchangeAnswered{})))
 			gomega.Expect(bytes.Equal(<-received, sent)).To(gomega.BeTrue())
