--- a/review/rig-3/machine.go
+++ b/review/rig-3/machine.go
@@ -22,7 +22,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -39,6 +41,9 @@
 	metricsPort = 9464
 )
 
+// maxSeeds is how many machines of the core the settings name.
+const maxSeeds = 3
+
 // Parameters describes a deployment.
 type Parameters struct {
 	// Binary is the program that the deploy file builds, and Templates the folder with its settings templates.
@@ -46,6 +51,8 @@
 	Zones             []string
 	// HeartbeatMillis is the interval of the servers' heartbeats.
 	HeartbeatMillis int
+	// Demands adds the bounds of quotas, keys, evacuations and cold servers, with the values of tagpuan-lc-grown.
+	Demands bool
 }
 
 // Deployment is a set of machines and stand-ins.
@@ -53,10 +60,13 @@
 	parameters Parameters
 	folder     string
 	network    string
-	controls   []*Machine
 	machines   []*Machine
 	servers    []*Server
 	nextIP     int
+
+	mutex sync.Mutex
+	// controls is the operator's list of the nodes that serve control.
+	controls []*Machine
 }
 
 // New returns a Deployment without machines, in a temporary folder.
@@ -125,6 +135,8 @@
 	process    *exec.Cmd
 	ended      chan struct{}
 	starts     int
+	// founder is set if the machine belongs to the first start of the whole system.
+	founder bool
 	// link passes the connections of other hosts on; nil if they reach the machine directly.
 	link *link
 }
@@ -142,10 +154,29 @@
 // AddControl adds a machine of the core, which is not started.
 func (d *Deployment) AddControl(zone string) *Machine {
 	m := d.add("control", zone)
+	m.founder = true
 	d.controls = append(d.controls, m)
 	return m
 }
 
+// ReplaceControl starts an empty machine at another address, stops the old one by SIGTERM once the new one has had the
+// time, and returns the new one.
+func (d *Deployment) ReplaceControl(old *Machine, catchUp time.Duration) (*Machine, error) {
+	m := d.add("control", old.zone)
+	if err := m.Start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(catchUp)
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		return nil, err
+	}
+	<-old.Ended()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.controls[slices.Index(d.controls, old)] = m
+	return m, nil
+}
+
 // AddEntry adds a front machine, which is not started.
 func (d *Deployment) AddEntry(zone string) *Machine { return d.add("entry", zone) }
 
@@ -158,8 +189,10 @@
 	return m
 }
 
-// ControlAddresses returns the addresses for servers and operators.
+// ControlAddresses returns the addresses for servers and operators, of which the settings name the first ones as seeds.
 func (d *Deployment) ControlAddresses() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	var addresses []string
 	for _, m := range d.controls {
 		addresses = append(addresses, fmt.Sprintf("%s:%d", m.IP, controlPort))
@@ -195,6 +228,7 @@
 
 var (
 	section     = regexp.MustCompile(`(?s)\{\{#bounds\.[a-zA-Z]+\}\}.*?\{\{/bounds\.[a-zA-Z]+\}\}`)
+	sectionMark = regexp.MustCompile(`\{\{[#/]bounds\.[a-zA-Z]+\}\}`)
 	zoneSection = regexp.MustCompile(`(?s)\{\{#zones\}\}(.*?)\{\{/zones\}\}`)
 )
 
@@ -204,7 +238,16 @@
 	if err != nil {
 		return "", err
 	}
-	filled := section.ReplaceAllString(string(text), "")
+	filled := string(text)
+	if !m.deployment.parameters.Demands {
+		filled = section.ReplaceAllString(filled, "")
+	}
+	filled = strings.NewReplacer(
+		"{{bounds.quotaWindowS}}", "5", "{{bounds.quotaOverage}}", "0.1", "{{bounds.quotaSlack}}", "20",
+		"{{bounds.revokeMs}}", "5000", "{{bounds.evacuateMs}}", "5000",
+		"{{bounds.warmupOverage}}", "1.5", "{{bounds.warmupSlack}}", "5",
+	).Replace(filled)
+	filled = sectionMark.ReplaceAllString(filled, "")
 	filled = zoneSection.ReplaceAllStringFunc(filled, func(found string) string {
 		line := strings.TrimPrefix(zoneSection.FindStringSubmatch(found)[1], "\n")
 		all := ""
@@ -216,15 +259,15 @@
 	if m.link != nil {
 		filled = strings.Replace(filled, "peers: {{ip}}:{{internalPorts.0}}", fmt.Sprintf("peers: {{ip}}:%d", innerPort), 1)
 	}
-	heartbeat := m.deployment.parameters.HeartbeatMillis
+	heartbeat, seeds := m.deployment.parameters.HeartbeatMillis, m.deployment.ControlAddresses()
 	return strings.NewReplacer(
 		"{{ip}}", m.IP, "{{zone}}", m.zone,
 		"{{internalPorts.0}}", fmt.Sprint(peerPort), "{{internalPorts.1}}", fmt.Sprint(operatorPort),
 		"{{bindAddrs.control}}", fmt.Sprintf("%s:%d", m.IP, controlPort),
 		"{{bindAddrs.front}}", m.Front(), "{{bindAddrs.readyAddr}}", fmt.Sprintf("%s:%d", m.IP, readyPort),
 		"{{dataDir}}", filepath.Join(m.deployment.folder, m.name, "data"),
-		"{{seeds}}", strings.Join(m.deployment.ControlAddresses(), ","),
-		"{{bootstrap}}", "true", "{{heartbeatMs}}", fmt.Sprint(heartbeat),
+		"{{seeds}}", strings.Join(seeds[:min(maxSeeds, len(seeds))], ","),
+		"{{bootstrap}}", fmt.Sprint(m.founder), "{{heartbeatMs}}", fmt.Sprint(heartbeat),
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetSlack}}", "52", "{{bounds.budgetWindowS}}", "10",
 	).Replace(filled), nil
 }
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -37,7 +37,7 @@
 	work  func(r *http.Request) time.Duration
 	slots chan struct{}
 
-	controls []string
+	controls func() []string
 	interval time.Duration
 	listener net.Listener
 	server   *http.Server
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	s := &Server{
-		ID: id, Service: service, Zone: zone, work: work, slots: make(chan struct{}, slots), listener: l, controls: d.ControlAddresses(),
+		ID: id, Service: service, Zone: zone, work: work, slots: make(chan struct{}, slots), listener: l, controls: d.ControlAddresses,
 		interval: time.Duration(d.parameters.HeartbeatMillis) * time.Millisecond,
 		born:     time.Now().UnixMilli(), stop: make(chan struct{}),
 	}
@@ -130,10 +130,11 @@
 	for seq := 1; ; seq++ {
 		body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftMs":0,"seq":%d,"born":%d}`,
 			s.Service, s.listener.Addr(), s.Zone, cap(s.slots), seq, s.born)
-		for i := 0; i <= len(s.controls); i++ {
+		controls := s.controls()
+		for i := 0; i <= len(controls); i++ {
 			target := address
 			if target == "" {
-				target = s.controls[(seq+i)%len(s.controls)]
+				target = controls[(seq+i)%len(controls)]
 			}
 			var ok bool
 			if address, ok = s.beat(&client, target, body); ok {
@@ -175,9 +176,9 @@
 		return err
 	}
 	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	controls := d.ControlAddresses()
 	end := time.Now().Add(limit)
 	for i := 0; time.Now().Before(end); i++ {
+		controls := d.ControlAddresses()
 		request, err := http.NewRequest(http.MethodPut, "http://"+controls[i%len(controls)]+"/config", bytes.NewReader(body))
 		if err != nil {
 			return err
