review/13: an order that a link holds back undoes a later one

The check whether the sender of an order still waits comes 100 ms after the order has arrived. When the end of its connection is later, a copy that its sender gave up on is executed, and an acknowledged evacuation is gone.

--- a/review/rig-3/link.go
+++ b/review/rig-3/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // maxName limits the length of the name with which a host begins a connection to another one.
@@ -110,3 +111,20 @@
 		to.Close()
 	}
 }
+
+// SendLate sends a request to an address through a link that is cut just after the connection was established: the bytes
+// arrive once it has healed, after hold, and the end of the connection a further time behind them. The caller has given
+// up by then.
+func SendLate(address, request string, hold, end time.Duration) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	time.Sleep(hold)
+	if _, err := io.WriteString(c, request); err != nil {
+		return err
+	}
+	time.Sleep(end)
+	return nil
+}
