--- a/review/11/main.go
+++ b/review/11/main.go
@@ -31,6 +31,8 @@
 	slots  = 3
 	// affected is how many shards lose their server in zone-a and have a slow one in zone-b.
 	affected = 4
+	// smallShards is how many shards a second route has.
+	smallShards = 2
 	// usualWork is how long a server takes for a request. A slow one takes slowWork and a step for a long request, one
 	// step more at each of the affected shards.
 	usualWork = 15 * time.Millisecond
@@ -44,7 +46,7 @@
 	offTime     = 50 * time.Millisecond
 	nextRequest = 595 * time.Millisecond
 	pause       = 15 * time.Millisecond
-	rounds      = 12
+	rounds      = 6
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -62,12 +64,17 @@
 	}
 	defer file.Close()
 	c := &checker{out: io.MultiWriter(os.Stdout, file), start: time.Now()}
-	if err := c.run(*binary, *templates, *trouble); err != nil {
-		c.note("case could not run: %v", err)
-		os.Exit(2)
+	broken := false
+	for _, next := range []string{"/search/", "/small/"} {
+		c.answers, c.wrong, c.ended = 0, 0, false
+		if err := c.run(*binary, *templates, next, *trouble); err != nil {
+			c.note("case could not run: %v", err)
+			os.Exit(2)
+		}
+		c.note("%s: %d answers checked, %d wrong", next, c.answers, c.wrong)
+		broken = broken || c.wrong > 0 || c.ended
 	}
-	c.note("%d answers checked, %d wrong", c.answers, c.wrong)
-	if c.wrong > 0 {
+	if broken {
 		os.Exit(1)
 	}
 }
@@ -80,6 +87,8 @@
 
 	mutex          sync.Mutex
 	answers, wrong int
+	// ended is set once the process of an undisturbed machine has ended.
+	ended bool
 
 	// slow is set while some servers are slow.
 	slow atomic.Bool
@@ -92,7 +101,8 @@
 	fmt.Fprintf(c.out, format+"\n", values...)
 }
 
-func (c *checker) run(binary, templates string, trouble bool) error {
+// run plays rounds in a new deployment until one fails. The requests after the loss of power go to a path.
+func (c *checker) run(binary, templates, next string, trouble bool) error {
 	d, err := rig.New(rig.Parameters{Binary: binary, Templates: templates, Zones: zones, HeartbeatMillis: 1200})
 	if err != nil {
 		return err
@@ -122,13 +132,29 @@
 	}
 	time.Sleep(4 * time.Second)
 	for round := range rounds {
-		if err := c.round(d.AddEntry("zone-a"), far, names, round, trouble); err != nil || c.wrong > 0 {
+		if err := c.round(d.AddEntry("zone-a"), far, names, round, next, trouble); err != nil {
 			return err
 		}
+		if hasEnded(far) {
+			c.note("the process of %s, which nothing has disturbed, has ended by itself: %s", far.Name(), far.LastWords("panic:"))
+			c.ended = true
+		}
+		if c.wrong > 0 || c.ended {
+			break
+		}
 	}
 	return nil
 }
 
+func hasEnded(m *rig.Machine) bool {
+	select {
+	case <-m.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
 // startServers starts the servers of the index: one of each shard in each zone. With trouble, those of affected shards are
 // lost in zone-a and turn slow at times in zone-b.
 func (c *checker) startServers(d *rig.Deployment, trouble bool) ([]string, error) {
@@ -164,8 +190,9 @@
 	}
 }
 
-// round adds a front machine to zone-a, which loses power during its first requests, and sends it the next ones.
-func (c *checker) round(near, far *rig.Machine, names []string, round int, trouble bool) error {
+// round adds a front machine to zone-a, which loses power during its first requests, and sends it the next ones, on
+// a path.
+func (c *checker) round(near, far *rig.Machine, names []string, round int, next string, trouble bool) error {
 	defer near.Kill()
 	if err := near.Start(); err != nil {
 		return err
@@ -178,7 +205,7 @@
 	began := time.Now()
 	var group sync.WaitGroup
 	for i := range slots {
-		group.Go(func() { c.request(near, names, fmt.Sprintf("r%dold%d", round, i)) })
+		group.Go(func() { c.request(near, names, "/search/", fmt.Sprintf("r%dold%d", round, i)) })
 	}
 	if trouble {
 		time.Sleep(lossDelay)
@@ -195,15 +222,15 @@
 	c.slow.Store(false)
 	time.Sleep(time.Until(began.Add(nextRequest)))
 	for i := range slots {
-		group.Go(func() { c.request(near, names, fmt.Sprintf("r%dnew%d", round, i)) })
+		group.Go(func() { c.request(near, names, next, fmt.Sprintf("r%dnew%d", round, i)) })
 		time.Sleep(pause)
 	}
 	group.Wait()
 	return nil
 }
 
-func (c *checker) request(m *rig.Machine, names []string, id string) {
-	request, err := http.NewRequest(http.MethodGet, "http://"+m.Front()+"/search/"+id, nil)
+func (c *checker) request(m *rig.Machine, names []string, path, id string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+m.Front()+path+id, nil)
 	if err != nil {
 		c.note("%v", err)
 		return
@@ -223,6 +250,9 @@
 		c.note("request %s: %s %v", id, response.Status, err)
 		return
 	}
+	if path == "/small/" {
+		names = names[:smallShards]
+	}
 	c.check(id, names, response.Header, body)
 }
 
@@ -245,7 +275,7 @@
 		}
 	}
 	missing, _ := strconv.Atoi(header.Get("X-Missing-Parts"))
-	if len(signatures)+missing != shards {
+	if len(signatures)+missing != len(names) {
 		fault = "the parts and the missing ones are not the set"
 	}
 	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
@@ -272,6 +302,9 @@
 		"routes": []object{{
 			"name": "search", "hostname": "search.example", "pathPrefix": "/search/", "routeKind": "idempotent", "timeoutMs": 1200,
 			"targetLatencyMs": 120, "priority": 1, "gather": names, "attempts": 2, "topK": topK, "minCoverage": 0.89,
+		}, {
+			"name": "small", "hostname": "search.example", "pathPrefix": "/small/", "routeKind": "idempotent", "timeoutMs": 1200,
+			"targetLatencyMs": 120, "priority": 1, "gather": names[:smallShards], "attempts": 2, "topK": topK, "minCoverage": 0.89,
 		}},
 		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
--- a/review/rig-3/machine.go
+++ b/review/rig-3/machine.go
@@ -342,3 +342,18 @@
 	}
 	return fmt.Errorf("rig: %s is not ready after %v", m.name, limit)
 }
+
+// LastWords returns the last line of the process's log that begins with a prefix.
+func (m *Machine) LastWords(prefix string) string {
+	text, err := os.ReadFile(filepath.Join(m.deployment.folder, m.name, fmt.Sprintf("log-%d.txt", m.starts)))
+	if err != nil {
+		return err.Error()
+	}
+	words := ""
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(line, prefix) {
+			words = line
+		}
+	}
+	return words
+}
