--- a/review/rig-3/machine.go
+++ b/review/rig-3/machine.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -64,6 +65,9 @@
 	servers    []*Server
 	nextIP     int
 
+	once   sync.Once
+	closed chan struct{}
+
 	mutex sync.Mutex
 	// controls is the operator's list of the nodes that serve control.
 	controls []*Machine
@@ -75,17 +79,34 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{parameters: p, folder: folder, nextIP: 1}
+	d := &Deployment{parameters: p, folder: folder, nextIP: 1, closed: make(chan struct{})}
 	for range 100 {
 		network := fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 		if isFree(network) {
 			d.network = network
+			go d.closeOnSignal()
 			return d, nil
 		}
 	}
 	return nil, errors.New("rig: no free loopback addresses")
 }
 
+// closeOnSignal ends all processes when the script is stopped.
+func (d *Deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+		d.Close()
+		os.Exit(exitNotRun)
+	case <-d.closed:
+	}
+}
+
+// exitNotRun is the status of a script that could not run.
+const exitNotRun = 2
+
 // isFree reports whether the ports of the first addresses of a network are free.
 func isFree(network string) bool {
 	for host := 1; host <= 4; host++ {
@@ -112,6 +133,11 @@
 
 // Close ends all processes and removes the temporary folder.
 func (d *Deployment) Close() {
+	d.once.Do(d.close)
+}
+
+func (d *Deployment) close() {
+	defer close(d.closed)
 	for _, s := range d.servers {
 		s.Close()
 	}
