--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -64,6 +64,7 @@
 	reducer.ColdCreditSettled{},
 	reducer.ColdAllotmentsRequested{},
 	reducer.ColdAllotmentsSent{},
+	reducer.ProcessIntroduced{},
 }
 
 var tags = indexTags()
--- a/internal/encoder/growth.go
+++ b/internal/encoder/growth.go
@@ -24,6 +24,7 @@
 	{reducer.ServerListSent{}, 11},
 	{reducer.PartsRequested{}, 10},
 	{reducer.PartsDelivered{}, 8},
+	{reducer.PartsCancelled{}, 2},
 	{reducer.Payload{}, 4},
 	{reducer.ListedServer{}, 5},
 	{reducer.WithdrawalRelayed{}, 1},
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -112,7 +112,7 @@
 	mutex    sync.Mutex
 	idle     map[endpoint][]*connection
 	open     map[*connection]struct{}
-	attempts map[identifier.AttemptID]*attempt
+	attempts map[identifier.ExchangeID]*attempt
 }
 
 // endpoint is a server at an address. Another server may take over the address later.
@@ -142,7 +142,7 @@
 		codec: c, logger: logger, context: ctx, cancel: cancel,
 		idle:     map[endpoint][]*connection{},
 		open:     map[*connection]struct{}{},
-		attempts: map[identifier.AttemptID]*attempt{},
+		attempts: map[identifier.ExchangeID]*attempt{},
 	}
 }
 
@@ -185,7 +185,7 @@
 
 // Cancel cancels an attempt. If its response does not arrive within the grace period, its
 // connection is closed.
-func (x *Exchanger) Cancel(id identifier.AttemptID, grace identifier.Micros) {
+func (x *Exchanger) Cancel(id identifier.ExchangeID, grace identifier.Micros) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	a, ok := x.attempts[id]
@@ -197,7 +197,7 @@
 }
 
 // abort closes the connection of a cancelled attempt.
-func (x *Exchanger) abort(id identifier.AttemptID) {
+func (x *Exchanger) abort(id identifier.ExchangeID) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	if a, ok := x.attempts[id]; ok && a.connection != nil {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -92,7 +92,7 @@
 			defer x.Close()
 			exchange := func(sequence uint32) {
 				x.Exchange(reducer.Exchange{
-					Attempt: identifier.AttemptID{Request: "q", Sequence: sequence}, Server: "s", Deadline: now().Add(10 * identifier.Second),
+					Attempt: identifier.ExchangeID{Request: "q", Sequence: sequence}, Server: "s", Deadline: now().Add(10 * identifier.Second),
 					Address: identifier.Address(l.Addr().String()), Payload: reducer.Payload{ClientRequestID: fmt.Sprint(sequence)},
 				})
 			}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -48,7 +48,7 @@
 	Start(deliver func(reducer.Event), now func() identifier.Instant)
 	Exchange(e reducer.Exchange)
 	// Cancel cancels an attempt. Its response may still arrive within the grace period.
-	Cancel(id identifier.AttemptID, grace identifier.Micros)
+	Cancel(id identifier.ExchangeID, grace identifier.Micros)
 }
 
 // Metrics records counters, histograms and service levels.
@@ -242,7 +242,7 @@
 	case reducer.QueryEvent:
 		h.trafficLoop(string(e.Key())).mailbox.put(event)
 	case reducer.RequestEvent:
-		h.trafficLoop(string(e.Key())).mailbox.put(event)
+		h.trafficLoop(string(e.Key().Request)).mailbox.put(event)
 	case reducer.SlotEvent:
 		h.trafficLoop(string(e.Key())).mailbox.put(event)
 	default:
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,7 +2,7 @@
 //
 // Each host dials every peer that it sends to, so there is one connection for each
 // direction. A frame is a 4-byte big-endian length followed by one encoded event.
-// The first frame of a connection holds the ID of the sending host. An event that exceeds the
+// The first frame of a connection holds the ID of the sending host, the second introduces its process. An event that exceeds the
 // maximum frame travels in several frames; the highest bit of the length is set in all but the last.
 //
 // Events to one peer arrive in the order they were sent, or not at all. For an event that
@@ -65,10 +65,11 @@
 	headerSize              = 4
 )
 
-// Parameters holds the ID of this host and the addresses of its peers.
+// Parameters holds the ID of this host, that of its process, and the addresses of its peers.
 type Parameters struct {
-	Host  identifier.HostID
-	Peers map[identifier.HostID]identifier.Address
+	Host    identifier.HostID
+	Process identifier.ProcessID
+	Peers   map[identifier.HostID]identifier.Address
 }
 
 // Messenger sends events to peers and delivers the events received from them.
@@ -78,13 +79,16 @@
 	encode  func(reducer.Event) ([]byte, error)
 	logger  hclog.Logger
 	host    identifier.HostID
+	process identifier.ProcessID
 	peers   map[identifier.HostID]identifier.Address
 	context context.Context
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
-	// mutex guards queues and connections.
-	mutex       sync.Mutex
-	queues      map[identifier.HostID]*peerQueue
+	// mutex guards queues, processes and connections.
+	mutex  sync.Mutex
+	queues map[identifier.HostID]*peerQueue
+	// processes holds the latest process that each peer with a queue has introduced.
+	processes   map[identifier.HostID]identifier.ProcessID
 	connections map[net.Conn]struct{}
 }
 
@@ -108,8 +112,10 @@
 		encode:      encoder.Encode,
 		logger:      logger,
 		host:        p.Host,
+		process:     p.Process,
 		peers:       p.Peers,
 		queues:      map[identifier.HostID]*peerQueue{},
+		processes:   map[identifier.HostID]identifier.ProcessID{},
 		context:     ctx,
 		cancel:      cancel,
 		connections: map[net.Conn]struct{}{},
@@ -150,6 +156,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	delete(m.queues, id)
+	delete(m.processes, id)
 	return true
 }
 
@@ -262,13 +269,30 @@
 		if !m.track(c) {
 			return
 		}
-		m.logger.Debug("connected to peer", "peer", id)
+		process := m.processOf(id)
+		m.logger.Debug("connected to peer", "peer", id, "process", process)
 		if err := m.writeQueued(c, queue); err != nil {
 			m.logger.Debug("connection to peer ended", "peer", id, "error", err)
 		}
 		m.untrack(c)
 		lastReached = time.Now()
-		m.deliver(reducer.PeerDisconnected{Host: id})
+		m.deliver(reducer.PeerDisconnected{Host: id, Process: process})
+	}
+}
+
+// processOf returns the process that a peer has introduced last, or 0.
+func (m *Messenger) processOf(id identifier.HostID) identifier.ProcessID {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.processes[id]
+}
+
+// recordProcess records the process that a peer has introduced, if this host sends events to the peer.
+func (m *Messenger) recordProcess(id identifier.HostID, process identifier.ProcessID) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if _, ok := m.queues[id]; ok {
+		m.processes[id] = process
 	}
 }
 
@@ -306,6 +330,10 @@
 	if err := writeFrame(w, []byte(m.host)); err != nil {
 		return err
 	}
+	introduction := m.encodeEvent(reducer.ProcessIntroduced{Host: m.host, Process: m.process})
+	if err := writeFrame(w, introduction); err != nil {
+		return err
+	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
@@ -420,8 +448,8 @@
 		m.logger.Debug("connection ended before the peer sent its host ID", "error", err)
 		return
 	}
-	peer := identifier.HostID(name)
-	defer m.deliver(reducer.PeerDisconnected{Host: peer})
+	peer, process := identifier.HostID(name), identifier.ProcessID(0)
+	defer func() { m.deliver(reducer.PeerDisconnected{Host: peer, Process: process}) }()
 	for {
 		data, err := readFrame(r)
 		if err != nil {
@@ -433,6 +461,10 @@
 			m.logger.Warn("failed to decode event from peer; event dropped", "peer", peer, "error", err)
 			continue
 		}
+		if e, ok := event.(reducer.ProcessIntroduced); ok {
+			process = e.Process
+			m.recordProcess(peer, process)
+		}
 		m.deliver(event)
 	}
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -36,7 +36,7 @@
 
 func startNode(host identifier.HostID, l net.Listener, peers map[identifier.HostID]identifier.Address) *node {
 	n := &node{delivered: make(chan reducer.Event, 100)}
-	n.Messenger = messenger.New(messenger.Parameters{Host: host, Peers: peers},
+	n.Messenger = messenger.New(messenger.Parameters{Host: host, Process: processes[host], Peers: peers},
 		func(e reducer.Event) { n.delivered <- e }, hclog.NewNullLogger())
 	go func() {
 		defer ginkgo.GinkgoRecover()
@@ -45,6 +45,14 @@
 	return n
 }
 
+// processes are those of the nodes.
+var processes = map[identifier.HostID]identifier.ProcessID{"h-1": 1, "h-2": 2}
+
+// introduction is the first event that a node sends on a connection.
+func introduction(host identifier.HostID) reducer.ProcessIntroduced {
+	return reducer.ProcessIntroduced{Host: host, Process: processes[host]}
+}
+
 func listen() (net.Listener, identifier.Address) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -64,11 +72,12 @@
 		defer firstListener.Close()
 		defer first.Close()
 		cases := []reducer.Event{
+			introduction("h-1"),
 			reducer.HostHeard{Host: "h-1", Domain: "fd-1"},
 			submitted,
 			reducer.AttemptLost{Attempt: submitted.Attempt, Server: "s-1"},
 		}
-		for _, c := range cases {
+		for _, c := range cases[1:] {
 			first.Send("h-2", c)
 		}
 		for _, c := range cases {
@@ -76,8 +85,41 @@
 		}
 		second.Close()
 		secondListener.Close()
-		gomega.Eventually(second.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-1"})))
-		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-2"})))
+		gomega.Eventually(second.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-1", Process: 1})))
+		// Of the two connections, the one made by the first host may have been made before the second introduced itself.
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Or(
+			gomega.Equal(reducer.PeerDisconnected{Host: "h-2"}), gomega.Equal(reducer.PeerDisconnected{Host: "h-2", Process: 2}))))
+	})
+
+	// Guards against the end of a connection to an earlier process that is taken for the end of the later one.
+	ginkgo.It("names the process that had introduced itself when the connection was made", func() {
+		firstListener, firstAddress := listen()
+		secondListener, secondAddress := listen()
+		first := startNode("h-1", firstListener, map[identifier.HostID]identifier.Address{"h-2": secondAddress})
+		second := startNode("h-2", secondListener, nil)
+		defer firstListener.Close()
+		defer first.Close()
+		defer secondListener.Close()
+		defer second.Close()
+		first.Send("h-2", submitted)
+		gomega.Eventually(second.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(submitted)))
+		earlier := messenger.New(messenger.Parameters{Host: "h-2", Process: 2, Peers: map[identifier.HostID]identifier.Address{
+			"h-1": firstAddress,
+		}}, func(reducer.Event) {}, hclog.NewNullLogger())
+		earlier.Send("h-1", submitted)
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(introduction("h-2"))))
+		first.Reconnect("h-2")
+		first.Send("h-2", submitted)
+		gomega.Eventually(second.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(submitted)))
+		earlier.Close()
+		later := messenger.New(messenger.Parameters{Host: "h-2", Process: 3, Peers: map[identifier.HostID]identifier.Address{
+			"h-1": firstAddress,
+		}}, func(reducer.Event) {}, hclog.NewNullLogger())
+		defer later.Close()
+		later.Send("h-1", submitted)
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.ProcessIntroduced{Host: "h-2", Process: 3})))
+		first.Reconnect("h-2")
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-2", Process: 2})))
 	})
 
 	ginkgo.It("reports an attempt that was never written as refused", func() {
@@ -120,6 +162,7 @@
 			sender.Send("h-2", submitted)
 			if c.delivered {
 				var event reducer.Event
+				gomega.Eventually(receiver.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(introduction("h-1"))))
 				gomega.Eventually(receiver.delivered, waitLimit).Should(gomega.Receive(&event))
 				gomega.Expect(event.(reducer.AttemptSubmitted).Body).To(gomega.HaveLen(len(large.Body)))
 			}
@@ -181,13 +224,14 @@
 	}
 })
 
-// readEvent reads the name of the sender from a connection, and returns the encoding of the event that follows.
+// readEvent reads the name of the sender and its introduction from a connection, and returns the encoding of the event that
+// follows.
 func readEvent(conn net.Conn) ([]byte, error) {
 	if err := conn.SetDeadline(time.Now().Add(waitLimit)); err != nil {
 		return nil, err
 	}
 	var content []byte
-	for range 2 {
+	for range 3 {
 		var header [4]byte
 		if _, err := io.ReadFull(conn, header[:]); err != nil {
 			return nil, err
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -52,16 +52,17 @@
 		r.exchanger = exchanger.New(a.Codec, loggers.Logger(exchangerSubsystem))
 		dependencies.Exchanger = r.exchanger
 	}
+	process := newProcessID()
 	r.host = executor.New(executor.Parameters{
 		Reducer: reducer.Parameters{
-			Host: s.Host, Domain: s.Domain, Duty: dutyOf(s), Interpreter: a.Interpreter,
+			Host: s.Host, Domain: s.Domain, Process: process, Duty: dutyOf(s), Interpreter: a.Interpreter,
 		},
 		// A host of a fleet has a single core, so a second traffic state would add no
 		// throughput, and would measure every backend server a second time.
 		TrafficStates: 1,
 		Seed:          uint64(time.Now().UnixNano()),
 	}, dependencies)
-	r.messenger = messenger.New(messenger.Parameters{Host: s.Host}, r.host.Deliver, loggers.Logger(messengerSubsystem))
+	r.messenger = messenger.New(messenger.Parameters{Host: s.Host, Process: process}, r.host.Deliver, loggers.Logger(messengerSubsystem))
 	r.host.Start(r.messenger)
 	r.serveOperators(metrics)
 	switch s.Fleet.Duty {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -127,14 +128,15 @@
 		listeners.Close()
 		return nil, err
 	}
+	process := newProcessID()
 	r.host = executor.New(executor.Parameters{
 		Reducer: reducer.Parameters{
-			Host: s.Host, Domain: s.Domain, Peers: peerHosts(s), ControlHosts: s.Control.Hosts,
+			Host: s.Host, Domain: s.Domain, Process: process, Peers: peerHosts(s), ControlHosts: s.Control.Hosts,
 		},
 		TrafficStates: s.TrafficStates,
 		Seed:          uint64(time.Now().UnixNano()),
 	}, dependencies)
-	r.messenger = messenger.New(messenger.Parameters{Host: s.Host, Peers: peerAddresses(s)},
+	r.messenger = messenger.New(messenger.Parameters{Host: s.Host, Process: process, Peers: peerAddresses(s)},
 		r.host.Deliver, loggers.Logger(messengerSubsystem))
 	r.host.Start(r.messenger)
 	r.host.Deliver(reducer.ConfigurationLoaded{Version: c.Version, Templates: c.Templates, Customers: c.Customers})
@@ -146,6 +148,11 @@
 	return r, nil
 }
 
+// newProcessID returns the ID of this process.
+func newProcessID() identifier.ProcessID {
+	return identifier.NewProcessID(identifier.Instant(time.Now().UnixMicro()), rand.Uint64())
+}
+
 func newRunner(s loader.Settings, listeners Listeners, loggers *logger.Set) *Runner {
 	limitMemory(s)
 	r := &Runner{
--- a/pkg/identifier/identifier.go
+++ b/pkg/identifier/identifier.go
@@ -25,7 +25,7 @@
 	Address string
 	// WorkKind is a kind of work. The customer's template maps it to a Rank.
 	WorkKind string
-	// RequestID identifies a client request. It is unique across entry hosts.
+	// RequestID identifies a client request within the process that read it. RequestName makes it unique.
 	RequestID string
 	// IdempotencyKey is a key that a client chooses for a request that must run at most once.
 	IdempotencyKey string
--- a/pkg/reducer/coldserver.go
+++ b/pkg/reducer/coldserver.go
@@ -70,7 +70,7 @@
 )
 
 // Key returns no request: hosts in a fleet have one traffic state.
-func (e ColdCreditAnswered) Key() identifier.RequestID { return "" }
+func (e ColdCreditAnswered) Key() identifier.RequestName { return identifier.RequestName{} }
 
 // coldCredit is what an entry host has of a cold server's limit.
 type coldCredit struct {
--- a/pkg/reducer/customer_test.go
+++ b/pkg/reducer/customer_test.go
@@ -126,7 +126,7 @@
 	ginkgo.It("gathers no part for another host once the proof has ended", func() {
 		e := newKeyedHost()
 		e.reduce(reducer.PartsRequested{
-			From: "10.0.0.2:70", Request: "r", Services: []identifier.ServiceID{"shard-0"}, Remaining: searchTimeout, Customer: "plain",
+			From: "10.0.0.2:70", Process: 1, Request: "r", Services: []identifier.ServiceID{"shard-0"}, Remaining: searchTimeout, Customer: "plain",
 		})
 		gomega.Expect(e.sent).To(gomega.BeEmpty())
 		gomega.Expect(e.messages).To(gomega.ContainElement(gomega.HaveField("Event", gomega.And(
--- a/pkg/reducer/delegate.go
+++ b/pkg/reducer/delegate.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/lagooncleat/lagooncleat/pkg/declarer"
@@ -42,8 +44,9 @@
 	// failure domain.
 	PartsRequested struct {
 		requestEvent
-		From     identifier.HostID      `msgpack:"f"`
-		Request  identifier.RequestID   `msgpack:"r"`
+		From    identifier.HostID    `msgpack:"f"`
+		Request identifier.RequestID `msgpack:"r"`
+		// Services are distinct.
 		Services []identifier.ServiceID `msgpack:"s"`
 		Rank     identifier.Rank        `msgpack:"k"`
 		// Route is the route with whose median latency the attempts are compared.
@@ -61,6 +64,8 @@
 		Customer identifier.CustomerID `msgpack:"c"`
 		// Homes are the regions that may see the request, a list for each object that names some.
 		Homes [][]identifier.RegionID `msgpack:"o"`
+		// Process is the requesting process of From; 0 from hosts of earlier versions.
+		Process identifier.ProcessID `msgpack:"v"`
 	}
 	// PartsDelivered carries parts gathered for another host, or names those that won't arrive.
 	PartsDelivered struct {
@@ -81,12 +86,16 @@
 		Crashed bool `msgpack:"c"`
 		// Untried are those of Failed to which the delegate has sent no attempt.
 		Untried []identifier.ServiceID `msgpack:"t"`
+		// Process is the process that requested the parts.
+		Process identifier.ProcessID `msgpack:"v"`
 	}
 	// PartsCancelled cancels a PartsRequested.
 	PartsCancelled struct {
 		requestEvent
 		From    identifier.HostID    `msgpack:"f"`
 		Request identifier.RequestID `msgpack:"r"`
+		// Process is that of the PartsRequested.
+		Process identifier.ProcessID `msgpack:"v"`
 	}
 )
 
@@ -96,19 +105,20 @@
 	Signature string               `msgpack:"g"`
 }
 
-// delegatedID returns the ID under which a delegate tracks another host's request.
-func delegatedID(from identifier.HostID, request identifier.RequestID) identifier.RequestID {
-	return identifier.RequestID(string(from) + "/" + string(request))
+// Key returns the name of the request at the delegate.
+func (e PartsRequested) Key() identifier.RequestName {
+	return identifier.RequestName{Requester: identifier.Process{Host: e.From, ID: e.Process}, Request: e.Request}
 }
 
-// Key returns the ID under which the delegate tracks the request.
-func (e PartsRequested) Key() identifier.RequestID { return delegatedID(e.From, e.Request) }
-
 // Key returns the request that the parts belong to.
-func (e PartsDelivered) Key() identifier.RequestID { return e.Request }
+func (e PartsDelivered) Key() identifier.RequestName {
+	return identifier.RequestName{Request: e.Request}
+}
 
-// Key returns the ID under which the delegate tracks the request.
-func (e PartsCancelled) Key() identifier.RequestID { return delegatedID(e.From, e.Request) }
+// Key returns the name of the request at the delegate.
+func (e PartsCancelled) Key() identifier.RequestName {
+	return identifier.RequestName{Requester: identifier.Process{Host: e.From, ID: e.Process}, Request: e.Request}
+}
 
 // requester receives the answer to a request. The interface is sealed: only types of this package
 // implement it.
@@ -117,10 +127,9 @@
 type (
 	// clientRequester is a client's connection.
 	clientRequester struct{}
-	// hostRequester is another host, for which this one gathers parts.
+	// hostRequester is a process of another host, for which this one gathers parts.
 	hostRequester struct {
-		host    identifier.HostID
-		request identifier.RequestID
+		name identifier.RequestName
 		// flushed is set once the flush time has passed; from then on each part is sent on its own.
 		flushed bool
 		// reported marks the pieces whose part or failure has been sent to the host.
@@ -250,7 +259,7 @@
 	message := PartsRequested{
 		From: s.parameters.Host, Request: q.Request, Rank: q.rank, Route: q.route.ID, TopK: q.route.TopK,
 		Remaining: q.deadline.Since(s.now), Payload: q.Payload, Fingerprint: q.Fingerprint,
-		Customer: q.customerID(), Homes: q.homes,
+		Customer: q.customerID(), Homes: q.homes, Process: s.parameters.Process,
 	}
 	typical := identifier.Micros(0)
 	for _, i := range pieces {
@@ -302,7 +311,11 @@
 
 // handleParts handles a message from a delegate: gathered parts, failures, or the end.
 func (s *State) handleParts(e PartsDelivered) {
-	q, ok := s.traffic.requests[e.Request]
+	if e.Process != s.parameters.Process {
+		s.count(StaleMessagesCounter, "", 0)
+		return
+	}
+	q, ok := s.traffic.requests[e.Key()]
 	if !ok {
 		return
 	}
@@ -423,15 +436,18 @@
 	}
 }
 
-// handleDisconnectedHost handles the loss of the connection to another host: it removes the
-// requests whose parts this host gathers for it, and ends the delegations to it.
-func (s *State) handleDisconnectedHost(host identifier.HostID) {
-	for _, id := range sortedKeys(s.traffic.requests) {
-		q := s.traffic.requests[id]
-		if to, ok := q.requester.(*hostRequester); ok && to.host == host {
+// removeGathered removes the requests whose parts this host gathers for processes that the function selects.
+func (s *State) removeGathered(selects func(identifier.Process) bool) {
+	for _, q := range s.sortedRequests() {
+		if to, ok := q.requester.(*hostRequester); ok && selects(to.name.Requester) {
 			s.removeRequest(q)
-			continue
 		}
+	}
+}
+
+// endDelegationsTo ends the delegations to another host.
+func (s *State) endDelegationsTo(host identifier.HostID) {
+	for _, q := range s.sortedRequests() {
 		if q.credit == creditAwaited {
 			continue
 		}
@@ -445,32 +461,49 @@
 	}
 }
 
+// sortedRequests returns the requests in progress in order of name.
+func (s *State) sortedRequests() []*request {
+	requests := slices.Collect(maps.Values(s.traffic.requests))
+	slices.SortFunc(requests, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.name.Requester.Host, b.name.Requester.Host),
+			cmp.Compare(a.name.Requester.ID, b.name.Requester.ID), cmp.Compare(a.name.Request, b.name.Request))
+	})
+	return requests
+}
+
 // cancelDelegations cancels the open delegations of a request.
 func (s *State) cancelDelegations(q *request) {
 	for _, d := range q.delegations {
 		if d.open {
 			d.open = false
-			s.emit(Send{To: d.host, Event: PartsCancelled{From: s.parameters.Host, Request: q.Request}})
+			s.emit(Send{To: d.host, Event: PartsCancelled{
+				From: s.parameters.Host, Request: q.Request, Process: s.parameters.Process,
+			}})
 		}
 	}
 }
 
 // acceptDelegated gathers parts for another host, with one attempt for each piece: that host
-// sends hedges itself.
+// sends hedges itself. It gathers none for hosts of earlier versions, which don't name their process, nor while this host
+// knows no servers since it has just started.
 func (s *State) acceptDelegated(e PartsRequested) {
-	// A host that has just started knows no servers yet.
-	if s.traffic.view.Fleet == nil || !s.mayServe(e.Customer) {
-		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Unsent: true, Ended: true}})
+	name := e.Key()
+	if e.Process == 0 || !s.hearProcess(name.Requester) || s.traffic.view.Fleet == nil || !s.mayServe(e.Customer) {
+		s.emit(Send{To: e.From, Event: s.deliveryTo(name, PartsDelivered{Unsent: true, Ended: true})})
 		return
 	}
 	if s.isSuspect(e.Fingerprint) {
-		s.emit(Send{To: e.From, Event: PartsDelivered{From: s.parameters.Host, Request: e.Request, Ended: true, Crashed: true}})
+		s.emit(Send{To: e.From, Event: s.deliveryTo(name, PartsDelivered{Ended: true, Crashed: true})})
+		return
+	}
+	if s.isGathered(name) {
+		s.count(StaleMessagesCounter, "", 0)
 		return
 	}
-	id := e.Key()
 	q := &request{
-		RequestArrived: RequestArrived{Request: id, Payload: e.Payload, Fingerprint: e.Fingerprint},
-		requester:      &hostRequester{host: e.From, request: e.Request, reported: make([]bool, len(e.Services))},
+		RequestArrived: RequestArrived{Request: e.Request, Payload: e.Payload, Fingerprint: e.Fingerprint},
+		name:           name,
+		requester:      &hostRequester{name: name, reported: make([]bool, len(e.Services))},
 		route: &declarer.Route{
 			ID: e.Route, Repeatable: true, MaxAttempts: 1, TopK: e.TopK, Shards: e.Services,
 			TargetLatency: e.Flush,
@@ -490,11 +523,27 @@
 	for _, service := range e.Services {
 		q.pieces = append(q.pieces, s.newPiece(service))
 	}
-	s.traffic.requests[id] = q
+	s.traffic.requests[name] = q
 	s.dispatchPieces(q)
 	s.finishOrSchedule(q)
 }
 
+// isGathered reports whether this host gathers parts under the name, or has not seen the end of an attempt for it.
+func (s *State) isGathered(name identifier.RequestName) bool {
+	if _, ok := s.traffic.requests[name]; ok {
+		return true
+	}
+	first := identifier.ExchangeID{Requester: name.Requester, Request: name.Request, Sequence: 1}
+	_, ok := s.traffic.requestAttempts[first]
+	return ok
+}
+
+// deliveryTo completes a message to the process that requested the parts of a request.
+func (s *State) deliveryTo(name identifier.RequestName, e PartsDelivered) PartsDelivered {
+	e.From, e.Request, e.Process = s.parameters.Host, name.Request, name.Requester.ID
+	return e
+}
+
 // delegatedCustomer returns the customer of a request that another host has admitted; nil if it has none.
 func delegatedCustomer(id identifier.CustomerID) *declarer.Customer {
 	if id == "" {
@@ -541,7 +590,7 @@
 	to.flushed = to.flushed || s.now >= q.answerAt
 	s.sendFailures(q, to)
 	if ended {
-		s.emit(Send{To: to.host, Event: PartsDelivered{From: s.parameters.Host, Request: to.request, Ended: true}})
+		s.emit(Send{To: to.name.Requester.Host, Event: s.deliveryTo(to.name, PartsDelivered{Ended: true})})
 		s.removeRequest(q)
 		return
 	}
@@ -560,7 +609,7 @@
 
 // sendParts sends the merged records of some pieces to the requester.
 func (s *State) sendParts(q *request, to *hostRequester, indexes []int, ended bool) {
-	message := PartsDelivered{From: s.parameters.Host, Request: to.request, Ended: ended, Crashed: q.mayCrashServers()}
+	message := s.deliveryTo(to.name, PartsDelivered{Ended: ended, Crashed: q.mayCrashServers()})
 	greatest := merger.New(q.route.TopK)
 	for _, i := range indexes {
 		answer := q.pieces[i].answer
@@ -569,12 +618,12 @@
 		to.reported[i] = true
 	}
 	message.Body = greatest.Merged()
-	s.emit(Send{To: to.host, Event: message})
+	s.emit(Send{To: to.name.Requester.Host, Event: message})
 }
 
 // sendFailures notifies the requester of the pieces that have failed.
 func (s *State) sendFailures(q *request, to *hostRequester) {
-	message := PartsDelivered{From: s.parameters.Host, Request: to.request, Crashed: q.mayCrashServers()}
+	message := s.deliveryTo(to.name, PartsDelivered{Crashed: q.mayCrashServers()})
 	for i := range q.pieces {
 		if p := &q.pieces[i]; p.finished && p.answer == nil && !to.reported[i] {
 			message.Failed = append(message.Failed, p.service)
@@ -585,7 +634,7 @@
 		}
 	}
 	if len(message.Failed) > 0 {
-		s.emit(Send{To: to.host, Event: message})
+		s.emit(Send{To: to.name.Requester.Host, Event: message})
 	}
 }
 
--- a/pkg/reducer/event.go
+++ b/pkg/reducer/event.go
@@ -102,6 +102,8 @@
 	PeerDisconnected struct {
 		processEvent
 		Host identifier.HostID
+		// Process is the process at the other end; 0 if it is unknown.
+		Process identifier.ProcessID
 	}
 	// OwnershipRenewed extends the period in which this host may act as an owner. The
 	// host's control state sends it with each heartbeat.
@@ -371,7 +373,7 @@
 	case AttemptSubmitted:
 		return AttemptRefused{Attempt: e.Attempt, Server: e.Server, Reason: RefusedUnreachable}, true
 	case PartsRequested:
-		return PartsDelivered{From: to, Request: e.Request, Unsent: true, Ended: true}, true
+		return PartsDelivered{From: to, Request: e.Request, Unsent: true, Ended: true, Process: e.Process}, true
 	}
 	return nil, false
 }
--- a/pkg/reducer/explanation.go
+++ b/pkg/reducer/explanation.go
@@ -28,7 +28,7 @@
 }
 
 // Key returns the same key for all questions: in a fleet one traffic state handles all requests.
-func (e RouteAsked) Key() identifier.RequestID { return "" }
+func (e RouteAsked) Key() identifier.RequestName { return identifier.RequestName{} }
 
 // ReplyRoute answers RouteAsked.
 type ReplyRoute struct {
--- a/pkg/reducer/forward.go
+++ b/pkg/reducer/forward.go
@@ -109,7 +109,7 @@
 	if customer != nil {
 		s.count(CustomerRequestsCounter, customer.ID, q.rank)
 	}
-	s.traffic.requests[e.Request] = q
+	s.traffic.requests[q.name] = q
 	if from := s.sufficientFrom(q); from > 0 {
 		s.count(UnavailablePiecesCounter, "", q.rank)
 		s.finishRequest(q, s.unavailable(q, from))
@@ -132,6 +132,7 @@
 	times := aimer.New(s.now, route.TargetLatency, e.Distance)
 	q := &request{
 		RequestArrived: e,
+		name:           e.Key(),
 		requester:      clientRequester{},
 		route:          route,
 		version:        s.traffic.view.Fleet.Declaration.Version,
@@ -227,7 +228,7 @@
 // finishOrSchedule finishes a request that is answered, can't be answered, or has run out of time or servers.
 // Otherwise it schedules the request's next timer.
 func (s *State) finishOrSchedule(q *request) {
-	if s.traffic.requests[q.Request] != q || q.credit == creditAwaited {
+	if s.traffic.requests[q.name] != q || q.credit == creditAwaited {
 		return
 	}
 	if to, ok := q.requester.(*hostRequester); ok {
@@ -395,7 +396,7 @@
 
 // abandonRequest removes a request whose client has disconnected.
 func (s *State) abandonRequest(id identifier.RequestID) {
-	if q, ok := s.traffic.requests[id]; ok {
+	if q, ok := s.traffic.requests[identifier.RequestName{Request: id}]; ok {
 		s.removeRequest(q)
 		s.logRequest(q, Debug, "client disconnected")
 	}
@@ -403,7 +404,7 @@
 
 // removeRequest removes a request and cancels its open attempts and delegations.
 func (s *State) removeRequest(q *request) {
-	delete(s.traffic.requests, q.Request)
+	delete(s.traffic.requests, q.name)
 	s.returnCredit(q)
 	s.reportLosses(q)
 	for i, a := range q.attempts {
@@ -438,7 +439,7 @@
 	}
 	if next < q.nextCheck {
 		q.nextCheck = next
-		s.schedule(next, requestDue{request: q.Request, at: next})
+		s.schedule(next, requestDue{request: q.name, at: next})
 	}
 }
 
--- a/pkg/reducer/piece.go
+++ b/pkg/reducer/piece.go
@@ -62,7 +62,7 @@
 // serverActivity tracks the attempts in flight on one server and how recent attempts ended.
 type serverActivity struct {
 	// open holds when each attempt in flight was sent.
-	open       map[identifier.AttemptID]identifier.Instant
+	open       map[identifier.ExchangeID]identifier.Instant
 	lastAnswer identifier.Instant
 	// failures counts the attempts that failed since the last served one.
 	failures int
@@ -89,7 +89,7 @@
 func (s *State) activity(id identifier.ServerID) *serverActivity {
 	a, ok := s.traffic.serverActivities[id]
 	if !ok {
-		a = &serverActivity{open: map[identifier.AttemptID]identifier.Instant{}}
+		a = &serverActivity{open: map[identifier.ExchangeID]identifier.Instant{}}
 		s.traffic.serverActivities[id] = a
 	}
 	return a
@@ -199,7 +199,7 @@
 	}
 	s.require(q.route.Repeatable || (!p.ran && p.openAttempts == 0), RequestOnceInvariant, q.Payload.ClientRequestID)
 	a := &requestAttempt{
-		piece: index, route: q.route.ID, service: p.service, server: backend.Server, incarnation: backend.Incarnation, rank: q.rank,
+		request: q, piece: index, route: q.route.ID, service: p.service, server: backend.Server, incarnation: backend.Incarnation, rank: q.rank,
 		counted: len(q.route.Shards) == 0 || backend.Domain != s.parameters.Domain, sent: s.now, hedgeAt: identifier.Never, open: true,
 	}
 	a.hedgeAt = s.attemptHedgeTime(q, a)
@@ -209,7 +209,7 @@
 	p.sent++
 	p.arrivals++
 	p.tried = append(p.tried, backend.Server)
-	id := identifier.AttemptID{Request: q.Request, Sequence: uint32(len(q.attempts))}
+	id := q.exchangeID(len(q.attempts) - 1)
 	s.traffic.requestAttempts[id] = a
 	s.activity(backend.Server).open[id] = s.now
 	s.traffic.chooser.RecordStart(backend.Server, q.rank)
@@ -419,20 +419,25 @@
 	}
 }
 
+// exchangeID returns the ID of the request's attempt at the index.
+func (q *request) exchangeID(index int) identifier.ExchangeID {
+	return identifier.ExchangeID{Requester: q.name.Requester, Request: q.name.Request, Sequence: uint32(index + 1)}
+}
+
 // cancelExchange cancels an open attempt; its exchange still ends with an event.
 func (s *State) cancelExchange(q *request, index int) {
 	a := q.attempts[index]
 	a.open = false
 	q.pieces[a.piece].openAttempts--
 	s.emit(CancelExchange{
-		Attempt: identifier.AttemptID{Request: q.Request, Sequence: uint32(index + 1)},
+		Attempt: q.exchangeID(index),
 		Grace:   CancelGrace,
 	})
 }
 
 // endExchange removes an attempt whose exchange has ended. It returns the attempt and the
 // request that still waits for it, if any.
-func (s *State) endExchange(id identifier.AttemptID) (*request, *requestAttempt) {
+func (s *State) endExchange(id identifier.ExchangeID) (*request, *requestAttempt) {
 	a, ok := s.traffic.requestAttempts[id]
 	if !ok {
 		return nil, nil
@@ -440,8 +445,8 @@
 	delete(s.traffic.requestAttempts, id)
 	delete(s.activity(a.server).open, id)
 	s.traffic.chooser.RecordEnd(a.server, a.rank)
-	q, ok := s.traffic.requests[id.Request]
-	if !ok || !a.open {
+	q := a.request
+	if !a.open || s.traffic.requests[q.name] != q {
 		return nil, a
 	}
 	a.open = false
@@ -642,6 +647,7 @@
 	for id := range s.traffic.extraBudgets {
 		s.traffic.extraBudgets[id].SetBurst(bucketSize(s.extraSlack()))
 	}
+	s.forgetProcesses(v.Delegates)
 	s.detectCrashes()
 	s.applyListedStatements(v)
 	s.resetReturned(v)
--- a/pkg/reducer/quota.go
+++ b/pkg/reducer/quota.go
@@ -92,7 +92,9 @@
 )
 
 // Key returns the request.
-func (e CreditAnswered) Key() identifier.RequestID { return e.Request }
+func (e CreditAnswered) Key() identifier.RequestName {
+	return identifier.RequestName{Request: e.Request}
+}
 
 // hasQuota reports whether requests of the customer need a credit.
 func (s *State) hasQuota(c *declarer.Customer) bool {
@@ -143,7 +145,7 @@
 // handleCreditTimer asks again for the credit of a request that still waits, or refuses the request if it has
 // waited for too long.
 func (s *State) handleCreditTimer(id identifier.RequestID) {
-	q, ok := s.traffic.requests[id]
+	q, ok := s.traffic.requests[identifier.RequestName{Request: id}]
 	if !ok || q.credit != creditAwaited {
 		return
 	}
@@ -159,7 +161,7 @@
 // meant for a request with the same number of an earlier process of this host, or have waited while this host was
 // frozen, so that its credit was counted long ago.
 func (s *State) receiveCredit(e CreditAnswered) {
-	q, ok := s.traffic.requests[e.Request]
+	q, ok := s.traffic.requests[e.Key()]
 	waits := ok && q.credit == creditAwaited && q.customer.ID == e.Customer
 	if waits && s.now >= q.creditDeadline {
 		s.handleCreditTimer(e.Request)
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -14,6 +14,8 @@
 type Parameters struct {
 	Host   identifier.HostID
 	Domain identifier.DomainID
+	// Process is this process of the host.
+	Process identifier.ProcessID
 	// Peers are the other entry hosts.
 	Peers []router.Host
 	// ControlHosts are the entry hosts with disks, which store the replicated log.
@@ -39,6 +41,8 @@
 
 	// quarantiner tracks the requests that may crash backend servers.
 	quarantiner *quarantiner.Quarantiner
+	// processes holds the latest known process of each other host.
+	processes map[identifier.HostID]peerProcess
 
 	control control
 	traffic traffic
@@ -51,6 +55,7 @@
 		random:      rand.New(rand.NewPCG(0, 0)),
 		wakeAt:      identifier.Never,
 		quarantiner: quarantiner.New(),
+		processes:   map[identifier.HostID]peerProcess{},
 		traffic:     newTraffic(),
 	}
 	s.control = newControl(s.leaseTerm(), s.extraWindow())
@@ -101,12 +106,9 @@
 	case ViewPublished:
 		s.applyView(e.View)
 	case PeerDisconnected:
-		s.failAttemptsAt(func(owner identifier.HostID) bool { return owner == e.Host })
-		s.repeatPermitRequests(func(arbiter identifier.HostID) bool { return arbiter == e.Host })
-		s.control.crashSyncPending[e.Host] = true
-		s.dropAttemptsFrom(func(submitter identifier.HostID) bool { return submitter == e.Host })
-		s.handleDisconnectedHost(e.Host)
-		s.control.serverList.forgetSentList(e.Host)
+		s.handleDisconnectedProcess(e)
+	case ProcessIntroduced:
+		s.receiveIntroduction(e)
 	case FingerprintSuspected:
 		s.receiveSuspicion(e)
 	case FingerprintCrashed:
--- a/pkg/reducer/request.go
+++ b/pkg/reducer/request.go
@@ -15,7 +15,7 @@
 	Event
 	isRequestEvent()
 	// Key returns the request, which selects the traffic state that handles the event.
-	Key() identifier.RequestID
+	Key() identifier.RequestName
 }
 
 type requestEvent struct{}
@@ -46,7 +46,7 @@
 	// RequestArrived reports a client's request that has been read in full.
 	RequestArrived struct {
 		requestEvent
-		// Request is unique on this host.
+		// Request is unique in this process.
 		Request identifier.RequestID
 		// Hostname and Path select the route.
 		Hostname, Path string
@@ -69,7 +69,7 @@
 	// ExchangeAnswered carries a backend server's complete answer.
 	ExchangeAnswered struct {
 		requestEvent
-		Attempt identifier.AttemptID
+		Attempt identifier.ExchangeID
 		Server  identifier.ServerID
 		Answer  ServerAnswer
 		// Statement is what the server says of itself in the answer.
@@ -80,7 +80,7 @@
 	// ExchangeRefused reports an attempt that did not run.
 	ExchangeRefused struct {
 		requestEvent
-		Attempt identifier.AttemptID
+		Attempt identifier.ExchangeID
 		Server  identifier.ServerID
 		Reason  ExchangeRefusal
 		// Statement is what the server says of itself, and Load is the load that it states, if any;
@@ -91,7 +91,7 @@
 	// ExchangeLost reports an attempt that may have run and whose answer will never arrive.
 	ExchangeLost struct {
 		requestEvent
-		Attempt identifier.AttemptID
+		Attempt identifier.ExchangeID
 		Server  identifier.ServerID
 		Reason  string
 		// Unproven is set when the connection had not delivered an answer before. Servers reset
@@ -155,26 +155,30 @@
 }
 
 // Key returns the request.
-func (e RequestArrived) Key() identifier.RequestID { return e.Request }
+func (e RequestArrived) Key() identifier.RequestName {
+	return identifier.RequestName{Request: e.Request}
+}
 
 // Key returns the request.
-func (e RequestAbandoned) Key() identifier.RequestID { return e.Request }
+func (e RequestAbandoned) Key() identifier.RequestName {
+	return identifier.RequestName{Request: e.Request}
+}
 
 // Key returns the request that the attempt belongs to.
-func (e ExchangeAnswered) Key() identifier.RequestID { return e.Attempt.Request }
+func (e ExchangeAnswered) Key() identifier.RequestName { return e.Attempt.Name() }
 
 // Key returns the request that the attempt belongs to.
-func (e ExchangeRefused) Key() identifier.RequestID { return e.Attempt.Request }
+func (e ExchangeRefused) Key() identifier.RequestName { return e.Attempt.Name() }
 
 // Key returns the request that the attempt belongs to.
-func (e ExchangeLost) Key() identifier.RequestID { return e.Attempt.Request }
+func (e ExchangeLost) Key() identifier.RequestName { return e.Attempt.Name() }
 
 // Effects of requests.
 type (
 	// Exchange sends an attempt to a backend server. One of the Exchange events reports its result.
 	Exchange struct {
 		effect
-		Attempt identifier.AttemptID
+		Attempt identifier.ExchangeID
 		Server  identifier.ServerID
 		Address identifier.Address
 		// Deadline is when the server may stop working on the attempt.
@@ -194,7 +198,7 @@
 	// arrives within the grace period, the connection is kept.
 	CancelExchange struct {
 		effect
-		Attempt identifier.AttemptID
+		Attempt identifier.ExchangeID
 		Grace   identifier.Micros
 	}
 	// ReplyRequest replies to a client's request and ends it.
@@ -266,6 +270,8 @@
 // request is one client's request in progress.
 type request struct {
 	RequestArrived
+	// name identifies the request on this host.
+	name      identifier.RequestName
 	requester requester
 	route     *declarer.Route
 	version   identifier.Version
@@ -350,6 +356,7 @@
 // requestAttempt is one attempt of a request. It is kept until its exchange ends, which may be
 // after the request has ended.
 type requestAttempt struct {
+	request *request
 	piece   int
 	route   declarer.RouteID
 	service identifier.ServiceID
--- a/pkg/reducer/request_test.go
+++ b/pkg/reducer/request_test.go
@@ -24,12 +24,15 @@
 	wake  identifier.Instant
 	// sent are the exchanges in the order of their start.
 	sent      []reducer.Exchange
-	cancelled []identifier.AttemptID
+	cancelled []identifier.ExchangeID
 	messages  []reducer.Send
 	outcomes  map[identifier.RequestID]reducer.RequestOutcome
 	view      *reducer.FleetView
 }
 
+// entryProcess is the process of a simulated entry host.
+const entryProcess identifier.ProcessID = 7
+
 const (
 	shardCount          = 4
 	searchTimeout       = 400 * identifier.Millisecond
@@ -88,7 +91,7 @@
 
 func newEntryHostWith(v *reducer.FleetView, d reducer.EntryDuty) *entryHost {
 	e := &entryHost{outcomes: map[identifier.RequestID]reducer.RequestOutcome{}, wake: identifier.Never, view: v}
-	e.state = reducer.New(reducer.Parameters{Host: "10.0.0.1:70", Domain: domain(0), Strict: true, Duty: d})
+	e.state = reducer.New(reducer.Parameters{Host: "10.0.0.1:70", Process: entryProcess, Domain: domain(0), Strict: true, Duty: d})
 	e.reduce(reducer.Started{Seed: 1})
 	e.reduce(reducer.ViewPublished{View: &reducer.View{Configuration: 4, Fleet: v}})
 	return e
@@ -505,7 +508,7 @@
 		return e.messages[0].Event.(reducer.PartsRequested)
 	}
 	partsDelivered := func(from, to int) reducer.PartsDelivered {
-		delivered := reducer.PartsDelivered{From: "10.0.1.1:70", Request: "q", Body: make([]byte, 16)}
+		delivered := reducer.PartsDelivered{From: "10.0.1.1:70", Process: entryProcess, Request: "q", Body: make([]byte, 16)}
 		for i := from; i < to; i++ {
 			id := identifier.ServiceID(fmt.Sprintf("far-%d", i))
 			delivered.Parts = append(delivered.Parts, reducer.DelegatedPart{Service: id, Signature: "sig-" + string(id)})
@@ -526,7 +529,7 @@
 			}
 		}, shardCount, 0},
 		{"are requested directly when the delegate was never reached", func(e *entryHost) {
-			e.reduce(reducer.PartsDelivered{From: "10.0.1.1:70", Request: "q", Unsent: true, Ended: true})
+			e.reduce(reducer.PartsDelivered{From: "10.0.1.1:70", Process: entryProcess, Request: "q", Unsent: true, Ended: true})
 			for i := range 8 {
 				e.answer(shardCount + i)
 			}
@@ -624,7 +627,7 @@
 		e := newEntryHost(remoteFleetView())
 		e.sendRequest("q", "/search/1")
 		e.reduce(reducer.RequestAbandoned{Request: "q"})
-		gomega.Expect(e.messages[len(e.messages)-1].Event).To(gomega.Equal(reducer.PartsCancelled{From: "10.0.0.1:70", Request: "q"}))
+		gomega.Expect(e.messages[len(e.messages)-1].Event).To(gomega.Equal(reducer.PartsCancelled{From: "10.0.0.1:70", Process: entryProcess, Request: "q"}))
 	})
 
 	for _, c := range []struct {
@@ -666,7 +669,7 @@
 		ginkgo.It(c.name+", by the delegate", func() {
 			e := newEntryHost(entryFleetView())
 			e.reduce(reducer.PartsRequested{
-				From: "10.0.2.1:70", Request: "r", Services: e.searchShards(), TopK: 2,
+				From: "10.0.2.1:70", Process: 1, Request: "r", Services: e.searchShards(), TopK: 2,
 				Flush: 40 * identifier.Millisecond, Remaining: 300 * identifier.Millisecond,
 			})
 			c.steps(e)
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -270,6 +270,8 @@
 	sentSubscribersAt identifier.Instant
 	// delegates are entry hosts of remote failure domains that gather parts for this one.
 	delegates []router.Host
+	// processAsked holds when each delegate whose process is unknown was asked to introduce it.
+	processAsked map[identifier.HostID]identifier.Instant
 	// announcementAddresses holds the addresses at which the other control hosts take announcements.
 	announcementAddresses map[identifier.HostID]identifier.Address
 
@@ -346,6 +348,7 @@
 		positions:             map[identifier.HostID]ServerListPosition{},
 		listRequested:         map[identifier.HostID]identifier.Instant{},
 		controlHosts:          map[identifier.HostID]controlHost{},
+		processAsked:          map[identifier.HostID]identifier.Instant{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
 		rejections:            assessor.NewRejections(),
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -49,6 +49,10 @@
 	// outcomes holds the outcome of each client's request.
 	outcomes map[identifier.RequestID]reducer.RequestOutcome
 	ticket   reducer.Ticket
+	// processes counts the processes that have started.
+	processes uint64
+	// earlierVersion is a host that doesn't name its processes.
+	earlierVersion identifier.HostID
 	// exchange simulates the backend servers; without it attempts get no answer.
 	exchange func(id identifier.HostID, e reducer.Exchange)
 	// onReceive, if set, is called with each event that a host receives, and onEffect with each effect.
@@ -138,6 +142,11 @@
 // start starts a host with the contents of its disk.
 func (f *smallFleet) start(id identifier.HostID) {
 	h := f.hosts[id]
+	f.processes++
+	h.parameters.Process = identifier.NewProcessID(f.now, f.processes)
+	if id == f.earlierVersion {
+		h.parameters.Process = 0
+	}
 	h.state, h.wake, h.view, h.running = reducer.New(h.parameters), identifier.Never, &reducer.View{}, true
 	f.reduce(id, reducer.Started{Seed: uint64(f.now) + uint64(h.replica)})
 	f.reduce(id, reducer.HostStarted{})
@@ -625,7 +634,11 @@
 		f.run(identifier.Second)
 		fleet := f.hosts[entryName(0)].view.Fleet
 		gomega.Expect(fleet.HostCounts.Remote).To(gomega.BeNumerically(">=", 2))
-		gomega.Expect(fleet.Delegates).To(gomega.HaveLen(2))
+		gomega.Expect(fleet.Delegates).To(gomega.BeEmpty(), "they don't run yet")
+		f.start(entryName(1))
+		f.start(entryName(2))
+		f.run(identifier.Second)
+		gomega.Expect(f.hosts[entryName(0)].view.Fleet.Delegates).To(gomega.HaveLen(2))
 	})
 })
 
--- a/pkg/reducer/statement_test.go
+++ b/pkg/reducer/statement_test.go
@@ -147,7 +147,7 @@
 		}},
 		{"a piece gathered for another host", "/archive/1", func(e *entryHost) {
 			e.reduce(reducer.PartsRequested{
-				From: "10.0.1.1:70", Request: "other", Services: []identifier.ServiceID{"archive"}, TopK: 1,
+				From: "10.0.1.1:70", Process: 1, Request: "other", Services: []identifier.ServiceID{"archive"}, TopK: 1,
 				Flush: 50 * identifier.Millisecond, Remaining: identifier.Second,
 			})
 			e.advance(300 * identifier.Millisecond)
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -82,6 +82,8 @@
 		s.unsubscribe()
 	}
 	s.lowerHostCounts()
+	s.forgetProcesses(sl.delegates)
+	s.askForProcesses()
 	if sl.subscribedTo != "" {
 		s.requestServerList(sl.subscribedTo)
 		s.requestLocalIfRemote()
@@ -292,11 +294,13 @@
 	sl.hostCounts.Local = max(sl.hostCounts.Local, sl.latestHostCounts.Local)
 	sl.hostCounts.Remote = max(sl.hostCounts.Remote, sl.latestHostCounts.Remote)
 	for _, h := range e.Topology.Delegates {
-		if !slices.Contains(sl.delegates, h) {
+		// The connection to a process that has just introduced itself is new.
+		if !slices.Contains(sl.delegates, h) && s.now.Since(s.processes[h.ID].heardAt) >= PollTimeout {
 			s.emit(Reconnect{Host: h.ID})
 		}
 	}
 	sl.delegates = e.Topology.Delegates
+	s.askForProcesses()
 	s.publish()
 }
 
@@ -435,7 +439,7 @@
 		Backends:     map[identifier.ServiceID][]Backend{},
 		HostCounts:   sl.hostCounts,
 		Place:        sl.place,
-		Delegates:    sl.delegates,
+		Delegates:    s.introducedDelegates(),
 		ControlHost:  sl.subscribedTo,
 		Customers:    sl.customers,
 		ControlHosts: s.controlHostsByDistance(),
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -74,7 +74,7 @@
 	// requestDue checks a request when a hedge, a retry, its answer or its deadline is due. It is
 	// ignored if another timer has superseded it.
 	requestDue struct {
-		request identifier.RequestID
+		request identifier.RequestName
 		at      identifier.Instant
 	}
 )
--- a/pkg/reducer/traffic.go
+++ b/pkg/reducer/traffic.go
@@ -48,8 +48,8 @@
 
 	// requests holds the requests in progress, and requestAttempts the attempts whose exchange
 	// has not ended; an attempt may outlive its request.
-	requests        map[identifier.RequestID]*request
-	requestAttempts map[identifier.AttemptID]*requestAttempt
+	requests        map[identifier.RequestName]*request
+	requestAttempts map[identifier.ExchangeID]*requestAttempt
 	// delegateBackoffs holds the time until which each delegate is backed off.
 	delegateBackoffs map[identifier.HostID]identifier.Instant
 	// serverActivities holds the attempts in flight on each server, and how recent ones ended.
@@ -107,8 +107,8 @@
 		lostCalls:          map[identifier.ServerID][]lostCall{},
 		running:            map[deduplicator.Key]identifier.RequestID{},
 
-		requests:          map[identifier.RequestID]*request{},
-		requestAttempts:   map[identifier.AttemptID]*requestAttempt{},
+		requests:          map[identifier.RequestName]*request{},
+		requestAttempts:   map[identifier.ExchangeID]*requestAttempt{},
 		delegateBackoffs:  map[identifier.HostID]identifier.Instant{},
 		serverActivities:  map[identifier.ServerID]*serverActivity{},
 		extraBudgets:      map[identifier.ServiceID]*throttler.Throttler{},
--- a/pkg/reducer/untried_test.go
+++ b/pkg/reducer/untried_test.go
@@ -32,13 +32,13 @@
 		ginkgo.It(c.name, func() {
 			e := newEntryHost(c.view())
 			e.reduce(reducer.PartsRequested{
-				From: "10.0.0.2:70", Request: "r", Services: []identifier.ServiceID{"shard-0"}, Remaining: searchTimeout,
+				From: "10.0.0.2:70", Process: 1, Request: "r", Services: []identifier.ServiceID{"shard-0"}, Remaining: searchTimeout,
 			})
 			e.advance(searchTimeout)
 			gomega.Expect(e.sent).To(gomega.BeEmpty())
 			gomega.Expect(e.messages).NotTo(gomega.BeEmpty())
 			expected := c.expected
-			expected.From, expected.Request = "10.0.0.1:70", "r"
+			expected.From, expected.Process, expected.Request = "10.0.0.1:70", 1, "r"
 			gomega.Expect(e.messages[0].Event).To(gomega.Equal(expected))
 		})
 	}
@@ -76,7 +76,7 @@
 				gomega.Expect(e.messages).To(gomega.HaveLen(messages + 1))
 				asked := e.messages[messages].Event.(reducer.PartsRequested)
 				report := c.report(asked.Services)
-				report.From, report.Request = "10.0.1.1:70", id
+				report.From, report.Process, report.Request = "10.0.1.1:70", entryProcess, id
 				e.reduce(report)
 				gomega.Expect(e.sent).To(gomega.HaveLen(sent + shardCount + 4))
 				for i := range shardCount + 4 {
@@ -97,7 +97,7 @@
 		v.Delegates = []router.Host{{ID: "10.0.1.1:70", Domain: domain(1)}}
 		e := newEntryHost(v)
 		e.sendRequest("q", "/search/1")
-		e.reduce(reducer.PartsDelivered{From: "10.0.1.1:70", Request: "q", Unsent: true, Ended: true})
+		e.reduce(reducer.PartsDelivered{From: "10.0.1.1:70", Process: entryProcess, Request: "q", Unsent: true, Ended: true})
 		asked := len(e.messages)
 		e.sendRequest("r", "/search/1")
 		gomega.Expect(e.messages).To(gomega.HaveLen(asked))
