--- a/internal/executor/operators.go
+++ b/internal/executor/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/lagooncleat/lagooncleat/internal/ranger"
 	"github.com/lagooncleat/lagooncleat/pkg/identifier"
 	"github.com/lagooncleat/lagooncleat/pkg/reducer"
 	"github.com/lagooncleat/lagooncleat/pkg/registrar"
@@ -31,7 +32,7 @@
 // context has ended by the time the release is handled. It returns the context's error if the context ends first.
 func (h *Host) ReleaseQuarantine(ctx context.Context, f identifier.Fingerprint) (reducer.ReplyOperator, error) {
 	ticket := h.newTicket()
-	return h.runOperation(ctx, ticket, reducer.QuarantineReleased{Ticket: ticket, Fingerprint: f})
+	return h.runOperation(ctx, ticket, reducer.QuarantineReleased{Ticket: ticket, Fingerprint: f, Age: ranger.Age(ctx)})
 }
 
 // runOperation delivers the event and waits for the reply to its ticket.
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -42,6 +42,13 @@
 	_ = encoder.Encode(value)
 }
 
+// refuseOrder responds to an order that was not executed since it may be too old. The next call goes on a new connection, whose
+// age is known.
+func refuseOrder(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, "the order may have been sent too long ago and was not executed; send it again", http.StatusServiceUnavailable)
+}
+
 // readJSON decodes a request body. It rejects unknown fields, data after the JSON
 // value, and bodies larger than MaxBodySize.
 func readJSON(w http.ResponseWriter, r *http.Request, target any) *reducer.Failed {
--- a/internal/listener/members.go
+++ b/internal/listener/members.go
@@ -39,6 +39,10 @@
 		writeFailure(w, "", reducer.Failed{Kind: abandonedKind, Ran: reducer.RanMaybe, Message: err.Error()})
 		return
 	}
+	if _, ok := reply.Reply.(reducer.OrderUnproven); ok {
+		refuseOrder(w)
+		return
+	}
 	status, result := http.StatusOK, "done"
 	decided, ok := reply.Reply.(reducer.MembersDecided)
 	switch {
--- a/internal/listener/quarantine.go
+++ b/internal/listener/quarantine.go
@@ -37,6 +37,10 @@
 		writeFailure(w, "", reducer.Failed{Kind: abandonedKind, Ran: reducer.RanMaybe, Message: err.Error()})
 		return
 	}
+	if _, ok := reply.Reply.(reducer.OrderUnproven); ok {
+		refuseOrder(w)
+		return
+	}
 	if _, ok := reply.Reply.(reducer.Committed); !ok {
 		http.Error(w, "the request has crashed another server meanwhile", http.StatusConflict)
 		return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -217,7 +217,7 @@
 
 // newServer returns an HTTP server that knows the distance to its clients.
 func newServer(h http.Handler) *stopper.Server {
-	return stopper.New(&http.Server{Handler: h, ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext})
+	return stopper.New(&http.Server{Handler: ranger.Handler(h), ReadHeaderTimeout: screener.HeaderTimeout, ConnContext: ranger.ConnContext})
 }
 
 // Ready reports whether the host accepts new clients: a configuration is in force, the server
--- a/pkg/reducer/evacuation.go
+++ b/pkg/reducer/evacuation.go
@@ -55,7 +55,7 @@
 	Domain identifier.DomainID
 	// Ended is set to end the evacuation.
 	Ended bool
-	// Age is how long ago the order was received, as far as the host knows.
+	// Age is the most by which the order is older than this event, by the clock of the host.
 	Age identifier.Micros
 }
 
@@ -127,6 +127,7 @@
 // evacuationOrigin is an operator's order whose base is being read.
 type evacuationOrigin struct {
 	order    EvacuationRequested
+	sentFrom identifier.Instant
 	deadline identifier.Instant
 }
 
@@ -146,12 +147,12 @@
 		s.emit(ReplyOperator{Ticket: e.Ticket, Reply: answer, Control: s.controlStatus()})
 		return
 	}
-	if isLate(e.Age) {
-		s.dropEvacuation(e)
+	o := evacuationOrigin{e, s.sentFrom(e.Age), s.now.Add(EvacuationTimeout)}
+	if !s.isProven(o.sentFrom) {
+		s.dropEvacuation(o)
 		return
 	}
-	deadline := s.now.Add(EvacuationTimeout - e.Age)
-	s.startOperation(EvacuationRead{Domain: e.Domain}, evacuationOrigin{e, deadline}, deadline)
+	s.startOperation(EvacuationRead{Domain: e.Domain}, o, o.deadline)
 }
 
 // receiveEvacuationBase checks that the sender of an order whose base was read still waits.
@@ -161,6 +162,10 @@
 		s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
 		return
 	}
+	if !s.isProven(o.sentFrom) {
+		s.dropEvacuation(o)
+		return
+	}
 	s.confirmCaller(o.order.Ticket, evacuationOrder{o, found.Revision})
 }
 
@@ -169,18 +174,22 @@
 // were sent at the same time and that one counts as the later one.
 func (s *State) proposeEvacuation(o evacuationOrder, waiting bool) {
 	if !waiting || s.now >= o.deadline {
-		s.dropEvacuation(o.order)
+		s.dropEvacuation(o.evacuationOrigin)
 		return
 	}
 	s.startOperation(Proposal{Command: EvacuationOrdered{Domain: o.order.Domain, Ended: o.order.Ended, Base: o.base}},
 		operatorOrigin{o.order.Ticket}, o.deadline)
 }
 
-// dropEvacuation drops an order whose sender has called another host.
-func (s *State) dropEvacuation(e EvacuationRequested) {
+// dropEvacuation drops an order whose sender has called another host, or may have done so.
+func (s *State) dropEvacuation(o evacuationOrigin) {
+	if !s.isProven(o.sentFrom) {
+		s.refuseUnproven(o.order.Ticket, "evacuation", o.sentFrom)
+		return
+	}
 	s.log(ConfigurationSubsystem, Info, "order about a failure domain dropped: its sender has gone",
-		Field{"failure-domain", string(e.Domain)}, Field{"ended", strconv.FormatBool(e.Ended)})
-	s.emit(ReplyOperator{Ticket: e.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+		Field{"failure-domain", string(o.order.Domain)}, Field{"ended", strconv.FormatBool(o.order.Ended)})
+	s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
 }
 
 // checkDomain returns the answer to an order about a domain that is unknown, or that this host may not know yet;
--- a/pkg/reducer/late_random_test.go
+++ b/pkg/reducer/late_random_test.go
@@ -70,6 +70,25 @@
 	r.schedule(r.now.Add(identifier.Micros(r.random.Int64N(int64(maxLateness)))), deliver)
 }
 
+// deliverOrderLate delivers a copy of an order late. A copy without the end of its connection is of a sender that has waited
+// for an answer in vain; the host knows how long ago the connection was made.
+func (r *lateRun) deliverOrderLate(host identifier.HostID, event reducer.Event, gone bool) {
+	r.copies++
+	lateness := identifier.Micros(r.random.Int64N(int64(maxLateness)))
+	if !gone {
+		lateness = max(lateness, reducer.OrderTimeout)
+	}
+	switch e := event.(type) {
+	case reducer.EvacuationRequested:
+		e.Age = lateness
+		event = e
+	case reducer.ServerWithdrawn:
+		e.Age = lateness
+		event = e
+	}
+	r.schedule(r.now.Add(lateness), func() { r.reduce(host, event) })
+}
+
 // announceRegularly has a server announce itself each second. Some announcements are delivered again, late, at any host.
 func (r *lateRun) announceRegularly(b *lateServer) {
 	r.schedule(r.now.Add(identifier.Second), func() {
@@ -104,8 +123,9 @@
 		t := r.ticket
 		if r.random.IntN(3) == 0 {
 			host, late := controlName(r.random.IntN(3)), t+1<<32
-			r.gone[late] = true
-			r.deliverLate(func() { r.reduce(host, order(late)) })
+			// The end of the connection of every other copy never arrives.
+			r.gone[late] = r.random.IntN(2) == 0
+			r.deliverOrderLate(host, order(late), r.gone[late])
 		}
 		r.reduce(controlName((first+i)%3), order(t))
 		for end := r.now.Add(leaveTimeout); r.now < end; r.run(5 * identifier.Millisecond) {
--- a/pkg/reducer/member.go
+++ b/pkg/reducer/member.go
@@ -61,11 +61,14 @@
 	operationEvent
 	Ticket    Ticket
 	Operation Operation
+	// Age is the most by which the order is older than this event, by the clock of the host.
+	Age identifier.Micros
 }
 
 // memberOrigin is an operator's change of the control hosts whose base is being read.
 type memberOrigin struct {
 	order    MembersRequested
+	sentFrom identifier.Instant
 	deadline identifier.Instant
 }
 
@@ -81,8 +84,12 @@
 
 // orderMembers reads the base of a change of the control hosts through the leader.
 func (s *State) orderMembers(e MembersRequested) {
-	deadline := s.now.Add(MemberTimeout)
-	s.startOperation(MembershipRead{}, memberOrigin{e, deadline}, deadline)
+	o := memberOrigin{e, s.sentFrom(e.Age), s.now.Add(MemberTimeout)}
+	if !s.isProven(o.sentFrom) {
+		s.dropMemberChange(o)
+		return
+	}
+	s.startOperation(MembershipRead{}, o, o.deadline)
 }
 
 // receiveMembershipBase checks that the sender of a change whose base was read still waits.
@@ -92,14 +99,27 @@
 		s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
 		return
 	}
+	if !s.isProven(o.sentFrom) {
+		s.dropMemberChange(o)
+		return
+	}
 	s.confirmCaller(o.order.Ticket, memberChange{o, found.Index})
 }
 
+// dropMemberChange drops a change of the control hosts whose sender has given up, or may have done so.
+func (s *State) dropMemberChange(o memberOrigin) {
+	if !s.isProven(o.sentFrom) {
+		s.refuseUnproven(o.order.Ticket, "change of the control hosts", o.sentFrom)
+		return
+	}
+	s.log(ConfigurationSubsystem, Info, "change of the control hosts dropped: its sender has gone")
+	s.emit(ReplyOperator{Ticket: o.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+}
+
 // changeMembers has the leader change the control hosts if the sender of the order still waits.
 func (s *State) changeMembers(c memberChange, waiting bool) {
 	if !waiting {
-		s.log(ConfigurationSubsystem, Info, "change of the control hosts dropped: its sender has gone")
-		s.emit(ReplyOperator{Ticket: c.order.Ticket, Reply: LeaderMissing{}, Control: s.controlStatus()})
+		s.dropMemberChange(c.memberOrigin)
 		return
 	}
 	s.startOperation(MemberOrder{Operation: c.order.Operation, Base: c.base}, operatorOrigin{c.order.Ticket}, c.deadline)
--- a/pkg/reducer/quarantine.go
+++ b/pkg/reducer/quarantine.go
@@ -77,6 +77,8 @@
 	quarantineEvent
 	Ticket      Ticket
 	Fingerprint identifier.Fingerprint
+	// Age is the most by which the command is older than this event, by the clock of the host.
+	Age identifier.Micros
 }
 
 // QuarantineChanged answers a release that was overtaken by another crash.
@@ -116,6 +118,10 @@
 			s.notifyCleared(e.Fingerprint)
 			return
 		}
+		if from := s.sentFrom(e.Age); !s.isProven(from) {
+			s.refuseUnproven(e.Ticket, "release of a request", from)
+			return
+		}
 		s.confirmCaller(e.Ticket, releaseOrder{e, s.quarantiner.QuarantineEnd(e.Fingerprint)})
 	case ProbeReturned:
 		requester := quarantiner.Requester{Host: e.From, Request: e.Request}
--- a/pkg/reducer/reducer.go
+++ b/pkg/reducer/reducer.go
@@ -38,6 +38,9 @@
 	timers     timers
 	sequence   uint64
 	wakeAt     identifier.Instant
+	// pausedAt is the last time before the process was stopped most recently, and resumedAt the first one after it; 0 if it
+	// never was.
+	pausedAt, resumedAt identifier.Instant
 
 	// quarantiner tracks the requests that may crash backend servers.
 	quarantiner *quarantiner.Quarantiner
@@ -65,6 +68,7 @@
 // Reduce applies an event that occurred at the given time and returns the resulting
 // effects, in order. The slice is valid until the next call.
 func (s *State) Reduce(at identifier.Instant, event Event) []Effect {
+	s.notePause(at)
 	s.now = max(s.now, at)
 	s.effects = s.effects[:0]
 	s.tickReplication()
@@ -139,8 +143,8 @@
 		s.proposeImport()
 	case pullDue:
 		s.pull()
-	case callerDue:
-		s.checkCaller(t.ticket)
+	case unknownServerDue:
+		s.retryWithdrawal(t.ticket)
 	case operationDue:
 		s.tryOperation(t.number)
 	case queryDue:
--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -177,7 +177,7 @@
 		membershipEvent
 		Ticket Ticket
 		Server identifier.ServerID
-		// Age is how long ago the message was received, as far as the host knows.
+		// Age is the most by which the message is older than this event, by the clock of the host.
 		Age identifier.Micros
 	}
 	// SubscribersSent sends the other control hosts the list of the sender's subscribers.
@@ -720,6 +720,7 @@
 type withdrawalOrder struct {
 	ticket    Ticket
 	server    identifier.ServerID
+	sentFrom  identifier.Instant
 	departure Departure
 	// known is set if the host knew the server.
 	known bool
@@ -735,17 +736,38 @@
 		s.emit(GrantLease{Ticket: e.Ticket})
 		return
 	}
-	o := withdrawalOrder{ticket: e.Ticket, server: e.Server}
+	o := withdrawalOrder{ticket: e.Ticket, server: e.Server, sentFrom: s.sentFrom(e.Age)}
 	o.departure, o.known = s.withdrawalOf(e.Server)
-	if isLate(e.Age) || !o.known && s.control.synchronized {
+	switch {
+	case !s.isProven(o.sentFrom), !o.known && s.control.synchronized:
 		s.declineWithdrawal(o)
+	case o.known:
+		s.confirmCaller(e.Ticket, o)
+	default:
+		s.control.orders[e.Ticket] = o
+		s.schedule(s.now.Add(UnknownServerDelay), unknownServerDue{e.Ticket})
+	}
+}
+
+// retryWithdrawal looks again for the server of a withdrawal, which this host didn't know since it had just started.
+func (s *State) retryWithdrawal(t Ticket) {
+	o, ok := s.control.orders[t].(withdrawalOrder)
+	if !ok {
 		return
 	}
-	s.confirmCaller(e.Ticket, o)
+	if o.departure, o.known = s.withdrawalOf(o.server); !s.isProven(o.sentFrom) {
+		delete(s.control.orders, t)
+		s.declineWithdrawal(o)
+		return
+	}
+	s.confirmCaller(t, o)
 }
 
 // declineWithdrawal leaves it to the sender to withdraw at another control host.
 func (s *State) declineWithdrawal(o withdrawalOrder) {
+	if !s.isProven(o.sentFrom) {
+		s.countUnproven("withdrawal of a backend server", o.sentFrom)
+	}
 	s.log(MembershipSubsystem, Info, "withdrawal of a backend server declined", Field{"server", string(o.server)},
 		Field{"known", strconv.FormatBool(o.known)}, incarnationField(o.departure.Incarnation))
 	s.emit(GrantLease{Ticket: o.ticket, Declined: true})
--- a/pkg/reducer/serverlist_test.go
+++ b/pkg/reducer/serverlist_test.go
@@ -344,7 +344,7 @@
 func (f *smallFleet) withdraw(i int, id identifier.ServerID) {
 	f.ticket++
 	f.reduce(controlName(i), reducer.ServerWithdrawn{Ticket: f.ticket, Server: id})
-	f.run(reducer.CallerCheckDelay + 50*identifier.Millisecond)
+	f.run(reducer.UnknownServerDelay + 50*identifier.Millisecond)
 }
 
 // backends returns the servers that an entry host may send work to, and whether each is silent.
--- a/pkg/reducer/timer.go
+++ b/pkg/reducer/timer.go
@@ -22,8 +22,8 @@
 	startupDue struct{}
 	// pullDue makes control request a newer configuration.
 	pullDue struct{}
-	// callerDue checks that the sender of an order still waits.
-	callerDue struct{ ticket Ticket }
+	// unknownServerDue looks again for a server that withdraws and was unknown.
+	unknownServerDue struct{ ticket Ticket }
 	// operationDue retries an operation.
 	operationDue struct{ number OperationNumber }
 	// queryDue ends a query at its deadline.
@@ -90,7 +90,7 @@
 func (estimateDue) isTimer()       {}
 func (startupDue) isTimer()        {}
 func (pullDue) isTimer()           {}
-func (callerDue) isTimer()         {}
+func (unknownServerDue) isTimer()  {}
 func (operationDue) isTimer()      {}
 func (replicationDue) isTimer()    {}
 func (notificationDue) isTimer()   {}
