--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -121,7 +121,11 @@
 	if err := unmarshal(data[1:], target.Interface()); err != nil {
 		return nil, fmt.Errorf("encoder: decode %T: %w", tagged[data[0]], err)
 	}
-	return target.Elem().Interface().(reducer.Event), nil
+	event := target.Elem().Interface().(reducer.Event)
+	if err := reducer.Check(event); err != nil {
+		return nil, fmt.Errorf("encoder: %w", err)
+	}
+	return event, nil
 }
 
 // unmarshal decodes one value. The msgpack library panics when a variant is in a field whose
--- a/internal/encoder/record_test.go
+++ b/internal/encoder/record_test.go
@@ -13,9 +13,9 @@
 var (
 	members = replicator.Membership{{Peer: replicator.Peer{Host: "h", Replica: 1 << 63}, Voter: true}}
 	entries = []replicator.Entry{
-		{Index: 1, Term: 2, Content: replicator.MembershipChange{Members: members}},
-		{Index: 2, Term: 2, Content: replicator.Proposal[reducer.Command]{Command: reducer.NoCommand{}}},
-		{Index: 3, Term: 2, Content: replicator.Proposal[reducer.Command]{
+		{Index: 5, Term: 2, Content: replicator.MembershipChange{Members: members}},
+		{Index: 6, Term: 2, Content: replicator.Proposal[reducer.Command]{Command: reducer.NoCommand{}}},
+		{Index: 7, Term: 2, Content: replicator.Proposal[reducer.Command]{
 			Command: reducer.ObjectChanged{Change: registrar.Change{ID: "i", Replaces: 4, At: 5, Edit: putCustomer}},
 		}},
 	}
