--- a/pkg/reducer/serverlist.go
+++ b/pkg/reducer/serverlist.go
@@ -279,6 +279,9 @@
 	positions map[identifier.HostID]ServerListPosition
 	// controlHosts are the known control hosts, and when each was last reported.
 	controlHosts map[identifier.HostID]controlHost
+	// reports holds the control hosts that each control host reported last, and reportedAt is when the last of them answered.
+	reports    map[identifier.HostID][]router.Host
+	reportedAt identifier.Instant
 	// subscribedTo is the control host that this entry host subscribes to; empty while it
 	// searches for one. lastReceived is when the last message from it arrived. searchStart is
 	// when the search began.
@@ -348,6 +351,7 @@
 		positions:             map[identifier.HostID]ServerListPosition{},
 		listRequested:         map[identifier.HostID]identifier.Instant{},
 		controlHosts:          map[identifier.HostID]controlHost{},
+		reports:               map[identifier.HostID][]router.Host{},
 		processAsked:          map[identifier.HostID]identifier.Instant{},
 		hostCounts:            defaultHostCounts,
 		assessor:              assessor.New(),
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -38,19 +38,30 @@
 	s.addSeeds(e.Seeds)
 }
 
-// removeSilentControlHosts removes the control hosts that have not been reported for
-// ControlHostRetention, except the seeds.
+// removeSilentControlHosts removes the control hosts that no other one has reported for ControlHostRetention, except the
+// seeds and the members of the replicated log. An entry host that gets no reports keeps all: it may need any of them.
 func (s *State) removeSilentControlHosts() {
 	sl := &s.control.serverList
+	now := s.now
+	if _, ok := s.parameters.Duty.(EntryDuty); ok {
+		now = sl.reportedAt
+	}
 	for id, known := range sl.controlHosts {
-		if s.now.Since(known.lastSeen) > ControlHostRetention && !slices.Contains(s.seeds(), id) {
+		if now.Since(known.lastSeen) > ControlHostRetention && !slices.Contains(s.seeds(), id) && !s.isMember(id) {
 			delete(sl.controlHosts, id)
 			delete(sl.peerSubscribers, id)
 			delete(sl.announcementAddresses, id)
+			delete(sl.reports, id)
 		}
 	}
 }
 
+// isMember reports whether a host is in the membership of the replicated log, as this control host knows it.
+func (s *State) isMember(id identifier.HostID) bool {
+	log := s.control.replication.log
+	return log != nil && log.Members().HasHost(id)
+}
+
 // pollServerLists requests changes from the control host that this entry host subscribes to, or
 // from all known ones while it has no subscription. A control host asks the others until it is
 // synchronized. It also publishes its status, sends the other control hosts the list of its
@@ -280,13 +291,18 @@
 // HostCountRetention: a control host that has restarted knows few of them at first.
 func (s *State) updateTopology(e ServerListSent) {
 	sl := &s.control.serverList
-	if e.Topology == nil {
-		return
+	if e.Topology != nil {
+		sl.topologies[e.From] = e.Topology.digest()
+		sl.reports[e.From] = e.Topology.ControlHosts
 	}
-	sl.topologies[e.From] = e.Topology.digest()
-	for _, h := range e.Topology.ControlHosts {
+	// An answer without a topology confirms the one that this host holds.
+	sl.reportedAt = s.now
+	for _, h := range sl.reports[e.From] {
 		sl.addControlHost(s.now, h)
 	}
+	if e.Topology == nil {
+		return
+	}
 	if _, ok := s.parameters.Duty.(EntryDuty); !ok || (sl.subscribedTo != "" && sl.subscribedTo != e.From) {
 		return
 	}
