--- a/pkg/reducer/ownership.go
+++ b/pkg/reducer/ownership.go
@@ -47,11 +47,20 @@
 	s.emit(Send{To: s.parameters.Host, Event: LeaseRenewed{Server: id, Until: s.control.leases.Expiry(id)}})
 }
 
+// maxClockDrift is by how many microseconds a second the clocks of two hosts drift apart at most: half of it each.
+const maxClockDrift = 500
+
 // clockOffset is the smallest difference seen between the clocks of this host and of one
-// process of another host. It includes the lowest network latency between them.
+// process of another host, and when it was seen. It includes the lowest network latency between them.
 type clockOffset struct {
 	started         identifier.Instant
 	leastDifference identifier.Micros
+	seenAt          identifier.Instant
+}
+
+// least returns the smallest difference that the clocks may have by now.
+func (o clockOffset) least(now identifier.Instant) identifier.Micros {
+	return o.leastDifference + now.Since(o.seenAt)*maxClockDrift/identifier.Second
 }
 
 // stamp returns the stamp of an event that this host sends now.
@@ -61,15 +70,17 @@
 
 // excessLatency returns how much longer an event from another host was in transit than the fastest
 // one from the same process, in microseconds. It also updates the clock offset of that process.
-// The clocks of the two hosts need not agree, but neither may step while its process runs.
+// The clocks of the two hosts need not agree, but neither may step while its process runs, nor may they drift apart faster
+// than maxClockDrift.
 func (s *State) excessLatency(from identifier.HostID, at Stamp) identifier.Micros {
 	difference := s.now.Since(at.Sent)
 	offset, ok := s.control.clockOffsets[from]
-	if !ok || offset.started != at.Started || difference < offset.leastDifference {
-		s.control.clockOffsets[from] = clockOffset{started: at.Started, leastDifference: difference}
+	least := offset.least(s.now)
+	if !ok || offset.started != at.Started || difference < least {
+		s.control.clockOffsets[from] = clockOffset{started: at.Started, leastDifference: difference, seenAt: s.now}
 		return 0
 	}
-	return difference - offset.leastDifference
+	return difference - least
 }
 
 func (s *State) renewOwnership(e OwnershipRenewed) {
