--- a/cmd/lagooncleat/held_order_test.go
+++ b/cmd/lagooncleat/held_order_test.go
@@ -24,14 +24,18 @@
 	kept bool
 }
 
-// send sends the order and returns the answer.
-func (o heldOrder) send(address, zone string) (*http.Response, error) {
-	conn, err := net.Dial("tcp", address)
+// send sends the order and returns the answer; nil if the connection ends before. A connection without an end stays open
+// until the channel is closed.
+func (o heldOrder) send(address, zone string, done <-chan struct{}) (*http.Response, error) {
+	conn, err := net.DialTimeout("tcp", address, orderTimeout)
 	if err != nil {
 		return nil, err
 	}
-	ginkgo.DeferCleanup(func() { conn.Close() })
-	if err := conn.SetDeadline(time.Now().Add(waitLimit)); err != nil {
+	go func() {
+		<-done
+		conn.Close()
+	}()
+	if err := conn.SetDeadline(time.Now().Add(o.hold + waitLimit)); err != nil {
 		return nil, err
 	}
 	answers := bufio.NewReader(conn)
@@ -65,6 +69,8 @@
 			attempt := 0
 			answered := func() bool { attempt++; return s.allAnswerInFull(attempt) }
 			gomega.Eventually(answered, waitLimit, "100ms").Should(gomega.BeTrue())
+			done := make(chan struct{})
+			defer close(done)
 			ends := method == http.MethodDelete
 			order := func(ended bool) {
 				gomega.Eventually(func() bool {
@@ -80,7 +86,7 @@
 				order(!ends)
 				order(ends)
 				order(!ends)
-				response, err := c.send(s.host(0).address(soakControlPort), zone)
+				response, err := c.send(s.host(0).address(soakControlPort), zone, done)
 				gomega.Expect(err).NotTo(gomega.HaveOccurred(), c.name)
 				if response != nil {
 					gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), c.name)
--- a/cmd/lagooncleat/soak_test.go
+++ b/cmd/lagooncleat/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,6 +39,8 @@
 const (
 	// orderTimeout is how long the operator waits for the answer to an order.
 	orderTimeout = time.Second
+	// maxOrderHold is how long a link holds an order back at most.
+	maxOrderHold = 20 * time.Second
 	// operatorPause is the time between the acknowledgement of an order and the next one.
 	operatorPause = 300 * time.Millisecond
 )
@@ -284,12 +287,26 @@
 	}
 }
 
+// drawHeldOrder draws an order that a link holds back for up to maxOrderHold, with the end of its connection up to some
+// seconds behind it, or never.
+func drawHeldOrder(random *rand.Rand, ended bool) heldOrder {
+	o := heldOrder{method: http.MethodPost, kept: random.IntN(2) == 0}
+	if ended {
+		o.method = http.MethodDelete
+	}
+	o.hold = orderTimeout + time.Duration(random.Int64N(int64(maxOrderHold-orderTimeout)))
+	if random.IntN(2) == 0 {
+		o.end = time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second)))
+	}
+	return o
+}
+
 // checkEvacuation has the operator give up on an order that a link holds back, and expects that what it orders next stands: the
 // servers of soakZone get requests unless they are evacuated.
 func (s *soak) checkEvacuation(seed uint64) {
 	links := s.operatorLinks
 	first := int(seed % uint64(len(links)))
-	ended, held, next := seed%2 == 1, links[first], 0
+	ended, next := seed%2 == 1, 0
 	order := func(ended bool) {
 		gomega.Eventually(func() bool {
 			// One of the control hosts may have been replaced.
@@ -298,11 +315,18 @@
 			return s.operator.Evacuate(string(link.Address()), soakZone, ended)
 		}, waitLimit, "100ms").Should(gomega.BeTrue(), "seed %d", seed)
 	}
-	held.SetCondition(relayer.Stalled{Forward: true})
-	gomega.Expect(s.operator.Evacuate(string(held.Address()), soakZone, ended)).To(gomega.BeFalse())
+	held := drawHeldOrder(rand.New(rand.NewPCG(seed, 13)), ended)
+	done, sent := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	go func() {
+		defer close(sent)
+		// A control host that was replaced accepts no connection, and one that is too busy closes it.
+		_, _ = held.send(s.host(first).address(soakControlPort), soakZone, done)
+	}()
+	time.Sleep(orderTimeout)
 	order(ended)
 	order(!ended)
-	held.SetCondition(relayer.Forwarding{})
+	<-sent
 	time.Sleep(orderTimeout)
 	for shard := range imitator.Shards {
 		gomega.Expect(s.servers.SetFault(shard, 1, imitator.Healthy)).To(gomega.Succeed())
