--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -87,7 +87,7 @@
 	// mutex guards queues, processes and connections.
 	mutex  sync.Mutex
 	queues map[identifier.HostID]*peerQueue
-	// processes holds the latest process that each peer with a queue has introduced.
+	// processes holds the latest process that each peer with a queue has introduced, while its connection is open.
 	processes   map[identifier.HostID]identifier.ProcessID
 	connections map[net.Conn]struct{}
 }
@@ -273,6 +273,10 @@
 		m.logger.Debug("connected to peer", "peer", id, "process", process)
 		if err := m.writeQueued(c, queue); err != nil {
 			m.logger.Debug("connection to peer ended", "peer", id, "error", err)
+			if !errors.Is(err, errReplaced) && m.processOf(id) != process {
+				// The connection may have been made to a later process before that introduced itself.
+				process = 0
+			}
 		}
 		m.untrack(c)
 		lastReached = time.Now()
@@ -280,7 +284,7 @@
 	}
 }
 
-// processOf returns the process that a peer has introduced last, or 0.
+// processOf returns the process that a peer has introduced last, or 0 if its connection has ended.
 func (m *Messenger) processOf(id identifier.HostID) identifier.ProcessID {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -296,6 +300,15 @@
 	}
 }
 
+// forgetProcess forgets the process that a peer has introduced on a connection that has ended.
+func (m *Messenger) forgetProcess(id identifier.HostID, process identifier.ProcessID) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.processes[id] == process {
+		delete(m.processes, id)
+	}
+}
+
 func (m *Messenger) dial(address identifier.Address) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(m.context, dialTimeout)
 	defer cancel()
@@ -449,7 +462,10 @@
 		return
 	}
 	peer, process := identifier.HostID(name), identifier.ProcessID(0)
-	defer func() { m.deliver(reducer.PeerDisconnected{Host: peer, Process: process}) }()
+	defer func() {
+		m.forgetProcess(peer, process)
+		m.deliver(reducer.PeerDisconnected{Host: peer, Process: process})
+	}()
 	for {
 		data, err := readFrame(r)
 		if err != nil {
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -122,6 +122,48 @@
 		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: "h-2", Process: 2})))
 	})
 
+	// Guards against the loss of a connection to a later process that is taken for the end of the earlier one.
+	ginkgo.It("names no process for a connection that was made before the later process introduced itself", func() {
+		firstListener, firstAddress := listen()
+		secondListener, secondAddress := listen()
+		first := startNode("h-1", firstListener, nil)
+		defer firstListener.Close()
+		defer first.Close()
+		// The later process of the host accepts connections, and the earlier one has introduced itself and gone.
+		accepted := make(chan net.Conn, 4)
+		go func() {
+			for {
+				conn, err := secondListener.Accept()
+				if err != nil {
+					return
+				}
+				accepted <- conn
+			}
+		}()
+		defer secondListener.Close()
+		host := identifier.HostID(secondAddress)
+		first.Send(host, submitted)
+		var conn net.Conn
+		gomega.Eventually(accepted, waitLimit).Should(gomega.Receive(&conn))
+		earlier := messenger.New(messenger.Parameters{Host: host, Process: 2, Peers: map[identifier.HostID]identifier.Address{
+			"h-1": firstAddress,
+		}}, func(reducer.Event) {}, hclog.NewNullLogger())
+		earlier.Send("h-1", submitted)
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.ProcessIntroduced{Host: host, Process: 2})))
+		earlier.Close()
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: host, Process: 2})))
+		first.Reconnect(host)
+		first.Send(host, submitted)
+		var next net.Conn
+		gomega.Eventually(accepted, waitLimit).Should(gomega.Receive(&next))
+		defer next.Close()
+		gomega.Expect(conn.Close()).To(gomega.Succeed())
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: host})))
+		first.Reconnect(host)
+		first.Send(host, submitted)
+		gomega.Eventually(first.delivered, waitLimit).Should(gomega.Receive(gomega.Equal(reducer.PeerDisconnected{Host: host})))
+	})
+
 	ginkgo.It("reports an attempt that was never written as refused", func() {
 		peerListener, address := listen()
 		peerListener.Close()
--- a/pkg/reducer/process.go
+++ b/pkg/reducer/process.go
@@ -120,10 +120,11 @@
 	s.control.serverList.forgetSentList(host)
 }
 
-// forgetProcesses removes the processes that have not been heard for ProcessRetention, except those of the hosts.
+// forgetProcesses removes the processes to which no connection is left and that have not been heard for ProcessRetention,
+// except those of the hosts.
 func (s *State) forgetProcesses(kept []router.Host) {
 	maps.DeleteFunc(s.processes, func(id identifier.HostID, p peerProcess) bool {
-		return s.now.Since(p.heardAt) >= ProcessRetention && !slices.ContainsFunc(kept, func(h router.Host) bool { return h.ID == id })
+		return p.disconnected && s.now.Since(p.heardAt) >= ProcessRetention && !slices.ContainsFunc(kept, func(h router.Host) bool { return h.ID == id })
 	})
 }
 
--- a/pkg/reducer/process_test.go
+++ b/pkg/reducer/process_test.go
@@ -150,6 +150,37 @@
 	})
 })
 
+// Guards against a connection to a process that has lost power: it still looks open, and what is sent on it is lost.
+var _ = ginkgo.Describe("a host that hears from a later process", func() {
+	for _, c := range []struct {
+		name string
+		// disconnected is set if the connection to the earlier process has ended.
+		disconnected, reconnects bool
+	}{
+		{"replaces its connection, however quiet the earlier one was", false, true},
+		{"keeps its connection if that was made after the end of the earlier one", true, false},
+	} {
+		for _, host := range []identifier.HostID{entryName(0), controlName(0)} {
+			ginkgo.It(c.name+", on "+string(host), func() {
+				f := newSmallFleet()
+				reconnected := 0
+				f.onEffect = func(id identifier.HostID, e reducer.Effect) {
+					if r, ok := e.(reducer.Reconnect); ok && id == host && r.Host == requester {
+						reconnected++
+					}
+				}
+				f.reduce(host, reducer.ProcessIntroduced{Host: requester, Process: earlierProcess})
+				f.run(5 * reducer.ProcessRetention)
+				if c.disconnected {
+					f.reduce(host, reducer.PeerDisconnected{Host: requester, Process: earlierProcess})
+				}
+				f.reduce(host, reducer.ProcessIntroduced{Host: requester, Process: laterProcess})
+				gomega.Expect(reconnected == 1).To(gomega.Equal(c.reconnects))
+			})
+		}
+	}
+})
+
 // Guards against parts that were gathered for an earlier process of this host.
 var _ = ginkgo.Describe("a host that has started again", func() {
 	for _, c := range []struct {
--- a/pkg/reducer/subscription.go
+++ b/pkg/reducer/subscription.go
@@ -81,6 +81,7 @@
 		if !s.control.synchronized {
 			s.requestServerLists()
 		}
+		s.forgetProcesses(nil)
 		s.publishControlStatus()
 		s.sendSubscribers()
 		s.expireRejections()
