--- a/pkg/reducer/process.go
+++ b/pkg/reducer/process.go
@@ -39,11 +39,6 @@
 	disconnected bool
 }
 
-// self returns this process.
-func (s *State) self() identifier.Process {
-	return identifier.Process{Host: s.parameters.Host, ID: s.parameters.Process}
-}
-
 // receiveIntroduction records the process of another host and introduces this one if asked to.
 func (s *State) receiveIntroduction(e ProcessIntroduced) {
 	if e.Process == 0 || e.Host == s.parameters.Host {
