--- a/pkg/reducer/fleetcrash_test.go
+++ b/pkg/reducer/fleetcrash_test.go
@@ -456,3 +456,24 @@
 		gomega.Expect(c.outcomes[id]).To(gomega.BeAssignableToTypeOf(reducer.Gathered{}))
 	})
 })
+
+// Guards against a notice that ends the refusal of a request after a later lost probe, because a link between hosts has held it
+// back.
+var _ = ginkgo.Describe("a notice of a cleared suspicion that a link holds back", func() {
+	ginkgo.It("doesn't end the refusal after a later lost probe", func() {
+		f := newCrashFleet("desk-a", 2*identifier.Second)
+		lost := reducer.FingerprintSuspected{Fingerprint: crashingFingerprint, Service: "desk-a", Stage: reducer.Announced}
+		f.reduce(entryName(2), lost)
+		// The probe of another host is served, and its notice is held back on the way to this one.
+		held := reducer.FingerprintCleared{Fingerprint: crashingFingerprint, Stage: reducer.Announced, Based: true}
+		f.run(identifier.Second)
+		lost.Probe = true
+		f.reduce(entryName(2), lost)
+		id := f.request(2, crashingPath, crashingFingerprint)
+		gomega.Expect(f.outcomes[id]).To(gomega.HaveField("Reason", reducer.SuspectedCrash))
+		f.reduce(entryName(2), held)
+		id = f.request(2, crashingPath, crashingFingerprint)
+		f.run(identifier.Second)
+		gomega.Expect(f.outcomes[id]).To(gomega.HaveField("Reason", reducer.SuspectedCrash))
+	})
+})
