--- a/internal/encoder/foreign_test.go
+++ b/internal/encoder/foreign_test.go
@@ -215,10 +215,10 @@
 		_, data := d.message()
 		f.Add(data)
 	}
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		e, err := encoder.Decode(data)
 		if err != nil {
-			t.Skip()
+			return
 		}
 		for _, r := range newReceivers() {
 			r.reduce(e)
